--- /dev/null
+++ b/admin/service.go
@@ -0,0 +1,137 @@
+package admin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"dandeliondoor/httpd"
+	"dandeliondoor/kernel"
+	"dandeliondoor/logs"
+	"dandeliondoor/model"
+	"dandeliondoor/spread"
+)
+
+// Name is the name under which other services find the operators' port.
+const Name = "operators"
+
+// shutdownLimit bounds the wait for operators' requests at the end.
+const shutdownLimit = time.Second
+
+// Readiness reports why a daemon should get no work, or nil.
+type Readiness func() error
+
+// Service serves the operators' port.
+type Service struct {
+	server *httpd.Server
+	kernel *kernel.Kernel
+	logger *logs.Logger
+	ready  Readiness
+	status func(now time.Time) spread.Status
+}
+
+var _ kernel.Service = &Service{}
+
+// New returns a service on a listener.
+func New(
+	listener net.Listener, registry *prometheus.Registry, logger *logs.Logger,
+	ready Readiness, status func(now time.Time) spread.Status,
+) (*Service, error) {
+	s := &Service{logger: logger, ready: ready, status: status}
+	router := httpd.NewRouter()
+	router.Handle(http.MethodGet, "/healthz", http.HandlerFunc(s.healthz))
+	router.Handle(http.MethodGet, "/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	router.Handle(http.MethodGet, "/readyz", http.HandlerFunc(s.readyz))
+	router.Handle(http.MethodGet, "/v1/log_level", httpd.JSON(s.logLevel))
+	router.Handle(http.MethodPut, "/v1/log_level", httpd.JSON(s.setLogLevel))
+	router.Handle(http.MethodGet, "/v1/state", http.HandlerFunc(s.state))
+	router.Handle(http.MethodGet, "/v1/status", http.HandlerFunc(s.configuration))
+	handler, err := router.Handler()
+	if err != nil {
+		return nil, err
+	}
+	s.server = httpd.NewServer(listener, handler)
+	return s, nil
+}
+
+// Name returns Name.
+func (s *Service) Name() string { return Name }
+
+// Start serves until the context ends.
+func (s *Service) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	s.kernel = k
+	return kernel.Run(ctx, func(ctx context.Context) error {
+		served := kernel.Run(context.WithoutCancel(ctx), s.server.Serve)
+		select {
+		case err := <-served:
+			return err
+		case <-ctx.Done():
+		}
+		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownLimit)
+		defer cancel()
+		return errors.Join(s.server.Shutdown(limit), <-served)
+	}), nil
+}
+
+func (s *Service) healthz(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (s *Service) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := s.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// LogLevel is the level at which a daemon logs.
+type LogLevel struct {
+	Level string `json:"level"`
+}
+
+func (s *Service) logLevel(context.Context, struct{}) (LogLevel, error) {
+	return LogLevel{Level: s.logger.Level()}, nil
+}
+
+func (s *Service) setLogLevel(_ context.Context, request LogLevel) (LogLevel, error) {
+	if err := s.logger.SetLevel(request.Level); err != nil {
+		return LogLevel{}, err
+	}
+	return LogLevel{Level: s.logger.Level()}, nil
+}
+
+func (s *Service) state(w http.ResponseWriter, r *http.Request) {
+	text, err := Dump(s.kernel, time.Now(), r.URL.Query().Get("part"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/yaml")
+	_, _ = w.Write([]byte(text))
+}
+
+func (s *Service) configuration(w http.ResponseWriter, r *http.Request) {
+	httpx.OkJsonCtx(r.Context(), w, s.status(time.Now()))
+}
+
+// Dump returns the YAML of the state of one part, or of all when part is
+// empty.
+func Dump(k *kernel.Kernel, now time.Time, part string) (string, error) {
+	var chosen []kernel.PartState
+	for _, state := range k.Dump(now) {
+		if part == "" || state.Part == part {
+			chosen = append(chosen, state)
+		}
+	}
+	if len(chosen) == 0 {
+		return "", errors.Errorf("no part %q shows its state", part)
+	}
+	return model.Marshal(chosen)
+}
--- /dev/null
+++ b/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the program, a file each.
+package cmds
--- /dev/null
+++ b/cmds/main.go
@@ -0,0 +1,114 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"dandeliondoor/check"
+	"dandeliondoor/logs"
+)
+
+// The exit codes of all commands.
+const (
+	ExitOK = iota
+	ExitFailed
+	ExitUsage
+	ExitInvalid
+	ExitLostRace
+	ExitUnreachable
+	ExitNotSeen
+)
+
+// ExitError carries the exit code of a failed command.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the cause.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// program is what all commands share.
+type program struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// commander is a command of go-flags.
+type commander = flags.Commander
+
+// entryOf describes one command.
+type entryOf struct {
+	name    string
+	short   string
+	long    string
+	command commander
+	hidden  bool
+}
+
+// Main runs the command that the arguments name and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	p := &program{stdout: stdout, stderr: stderr}
+	if logger, err := logs.New(stderr, "text", "error"); err == nil {
+		logger.TakeLibraryLogs()
+	}
+	parser := flags.NewNamedParser("dandeliondoor", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "A proxy fleet between callers and upstreams with gray failures."
+	for _, entry := range p.entries() {
+		command, err := parser.AddCommand(entry.name, entry.short, entry.long, entry.command)
+		if err != nil {
+			fmt.Fprintln(stderr, "dandeliondoor:", err)
+			return ExitFailed
+		}
+		command.Hidden = entry.hidden
+	}
+	_, err := parser.ParseArgs(arguments)
+	return p.exitCode(err)
+}
+
+func (p *program) entries() []entryOf {
+	return append([]entryOf{
+		{name: "check", short: "Check a deployment", long: checkHelp, command: &checkCommand{program: p}},
+		{name: "completion", short: "Print a shell completion", long: completionHelp, command: &completionCommand{program: p}},
+		{name: "demo", short: "Run both example deployments in one process", long: demoHelp, command: &demoCommand{program: p}},
+		{name: "publish", short: "Publish a deployment", long: publishHelp, command: &publishCommand{program: p}},
+		{name: "render", short: "Print a deployment as it is published", long: renderHelp, command: &renderCommand{program: p}},
+		{name: "serve", short: "Run a daemon", long: serveHelp, command: &serveCommand{program: p}},
+		{name: "state", short: "Print the state of a daemon", long: stateHelp, command: &stateCommand{program: p}},
+		{name: "status", short: "Show what is in force on daemons", long: statusHelp, command: &statusCommand{program: p}},
+		{name: "version", short: "Print the version", long: versionHelp, command: &versionCommand{program: p}},
+	}, p.standIns()...)
+}
+
+// exitCode prints an error and returns the code that stands for it.
+func (p *program) exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Fprintln(p.stdout, usage.Message)
+			return ExitOK
+		}
+		fmt.Fprintln(p.stderr, usage.Message)
+		return ExitUsage
+	}
+	fmt.Fprintln(p.stderr, err)
+	var exit *ExitError
+	var findings check.Findings
+	switch {
+	case errors.As(err, &exit):
+		return exit.Code
+	case errors.As(err, &findings):
+		return ExitInvalid
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/cmds/publishcmd.go
@@ -0,0 +1,156 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os/user"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"dandeliondoor/fold"
+	"dandeliondoor/model"
+	"dandeliondoor/pubs"
+)
+
+const publishHelp = `Publish a deployment: all of its changes come into force, or none.
+
+The command says accepted only after it has read its own record in the log as
+the winner. Running it again is always safe.
+
+Exit codes: 0 accepted or nothing to change, 2 bad arguments, 3 invalid
+deployment, 4 another publication came first, 5 the log cannot be reached and
+nothing was written, 6 the log's answer was lost and the record is not seen yet.
+
+Examples:
+  dandeliondoor publish --log 10.0.0.5:9001 fes.yaml
+  dandeliondoor publish --log 10.0.0.5:9001 --dry-run fes.yaml
+  dandeliondoor publish --log 10.0.0.5:9001 --base service/agenda=4 agenda.yaml
+  dandeliondoor publish --log 10.0.0.5:9001 --first fes.yaml`
+
+type publishCommand struct {
+	program *program
+	Bases   map[string]uint64 `long:"base" key-value-delimiter:"=" description:"revision on which the change of a document was made" value-name:"NAME=REVISION"`
+	DryRun  bool              `long:"dry-run" description:"show the difference and publish nothing"`
+	First   bool              `long:"first" description:"publish to a log that holds no document yet"`
+	Log     string            `long:"log" required:"yes" description:"address of the log service" value-name:"IP:PORT"`
+	Prune   bool              `long:"prune" description:"delete documents that the file does not declare"`
+	Args    struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+var _ commander = &publishCommand{}
+
+// Execute runs the command.
+func (c *publishCommand) Execute([]string) error {
+	ctx := context.Background()
+	deployment, err := loadDeployment(c.Args.File)
+	if err != nil {
+		return err
+	}
+	documents, err := model.Documents(deployment)
+	if err != nil {
+		return err
+	}
+	publisher, err := loadPublisher(ctx, c.Log)
+	if err != nil {
+		return err
+	}
+	if publisher.State().Len() == 0 && !c.First {
+		return failureOf(pubs.Empty{})
+	}
+	changes := pubs.Plan(publisher.State(), documents, c.Prune)
+	if err := c.takeBases(changes); err != nil {
+		return err
+	}
+	if c.DryRun {
+		fmt.Fprint(c.program.stdout, pubs.Difference(publisher.State(), changes))
+		return nil
+	}
+	if len(changes) == 0 {
+		fmt.Fprintln(c.program.stdout, "unchanged: all of it is in force already")
+		return nil
+	}
+	return c.report(publisher.Publish(ctx, fold.Publication{
+		ID:        uuid.NewString(),
+		Operator:  operatorName(),
+		Documents: changes,
+	}))
+}
+
+// takeBases puts the bases that the operator gives in place of the current
+// ones.
+func (c *publishCommand) takeBases(changes []fold.Change) error {
+	for name, base := range c.Bases {
+		found := false
+		for i := range changes {
+			if changes[i].Name == name {
+				changes[i].Base = base
+				found = true
+			}
+		}
+		if !found {
+			return &ExitError{Code: ExitUsage, Err: errors.Errorf("--base: the publication does not change %s", name)}
+		}
+	}
+	return nil
+}
+
+func (c *publishCommand) report(result pubs.Result) error {
+	accepted, isAccepted := result.(pubs.Accepted)
+	if !isAccepted {
+		return failureOf(result)
+	}
+	if accepted.AnswerLost {
+		fmt.Fprintln(c.program.stdout, "the log's answer was lost; the record was found")
+	}
+	fmt.Fprintln(c.program.stdout, "accepted")
+	for _, document := range accepted.Documents {
+		fmt.Fprintf(c.program.stdout, "  %s revision %d\n", document.Name, document.Revision)
+	}
+	return nil
+}
+
+func operatorName() string {
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
+
+// failureOf returns the error, with its exit code, that stands for a result.
+func failureOf(result pubs.Result) error {
+	switch result := result.(type) {
+	case pubs.LostRace:
+		return &ExitError{Code: ExitLostRace, Err: errors.New(conflictText(result))}
+	case pubs.Unreachable:
+		return &ExitError{Code: ExitUnreachable, Err: errors.Wrap(result.Err, "the log cannot be reached and nothing was written")}
+	case pubs.NotSeen:
+		return &ExitError{Code: ExitNotSeen, Err: errors.Wrapf(result.Err,
+			"publication %s: the answer was lost and the record is not seen yet; run publish again", result.ID)}
+	case pubs.Uncovered:
+		return &ExitError{Code: ExitUnreachable, Err: errors.Errorf(
+			"the log starts at offset %d and holds no checkpoint yet; wait for the daemons to renew it", result.Earliest)}
+	case pubs.Empty:
+		return &ExitError{Code: ExitInvalid, Err: errors.New(
+			"the log holds no document; --first is for the first publication of all")}
+	default:
+		return nil
+	}
+}
+
+func conflictText(lost pubs.LostRace) string {
+	var text strings.Builder
+	text.WriteString("lost the race: nothing of this publication is in force")
+	for _, conflict := range lost.Conflicts {
+		fmt.Fprintf(&text, "\n  %s: based on revision %d, but %d is in force", conflict.Name, conflict.Base, conflict.Current)
+		if conflict.Winner != "" {
+			text.WriteString(" by publication " + conflict.Winner)
+		}
+	}
+	text.WriteString("\nlook at the difference with publish --dry-run, take the other change over, and publish again")
+	return text.String()
+}
--- /dev/null
+++ b/cmds/statecmd.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const stateHelp = `Print the state of a daemon's parts as YAML.
+
+Examples:
+  dandeliondoor state --daemon 10.0.1.7:8082
+  dandeliondoor state --daemon 10.0.1.7:8082 --part broker`
+
+// operatorTimeout bounds one call of a daemon's operators' port.
+const operatorTimeout = 5 * time.Second
+
+type stateCommand struct {
+	program *program
+	Daemon  string `long:"daemon" required:"yes" description:"operators' address of the daemon" value-name:"IP:PORT"`
+	Part    string `long:"part" description:"print only this part"`
+}
+
+var _ commander = &stateCommand{}
+
+// Execute runs the command.
+func (c *stateCommand) Execute([]string) error {
+	text, err := getOperators(c.Daemon, "/v1/state?part="+url.QueryEscape(c.Part))
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(c.program.stdout, string(text))
+	return nil
+}
+
+// getOperators reads a page of a daemon's operators' port.
+func getOperators(address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return nil, &ExitError{Code: ExitUsage, Err: err}
+	}
+	response, err := httpc.DoRequest(request)
+	if err != nil {
+		return nil, &ExitError{Code: ExitUnreachable, Err: errors.Wrapf(err, "daemon %s", address)}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, &ExitError{Code: ExitUnreachable, Err: errors.Wrapf(err, "daemon %s", address)}
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("daemon %s: %s", address, text)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package config reads and checks the settings of a daemon.
+package config
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,162 @@
+package config
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dandeliondoor/check"
+)
+
+// Settings are what a daemon is told at its start.
+type Settings struct {
+	Name     string   `yaml:"name"`
+	Zone     string   `yaml:"zone"`
+	Zones    []string `yaml:"zones"`
+	Listen   Listen   `yaml:"listen"`
+	Platform Platform `yaml:"platform"`
+	Stop     Stop     `yaml:"stop"`
+	Logs     Logs     `yaml:"logs"`
+}
+
+// Listen are the addresses of a daemon's ports. Advertised is the address under
+// which other daemons reach Daemons, when it differs.
+type Listen struct {
+	Callers    netip.AddrPort `yaml:"callers"`
+	Daemons    netip.AddrPort `yaml:"daemons"`
+	Operators  netip.AddrPort `yaml:"operators"`
+	Advertised netip.AddrPort `yaml:"advertised"`
+}
+
+// Platform says where the platform's services are; LogRetention is how long the
+// log keeps a record.
+type Platform struct {
+	Log          netip.AddrPort `yaml:"log"`
+	VMs          netip.AddrPort `yaml:"vms"`
+	Timeout      time.Duration  `yaml:"timeout"`
+	LogRetention time.Duration  `yaml:"log_retention"`
+	VMsInterval  time.Duration  `yaml:"vms_interval"`
+}
+
+// Stop bounds a planned stop: BalancerLag is how long the balancer may send new
+// connections after the daemon is no longer ready, Limit how long requests in
+// flight may take.
+type Stop struct {
+	BalancerLag time.Duration `yaml:"balancer_lag"`
+	Limit       time.Duration `yaml:"limit"`
+}
+
+// Logs say how the process logs.
+type Logs struct {
+	Format string `yaml:"format"`
+	Level  string `yaml:"level"`
+}
+
+// The values that stand where the settings give none.
+const (
+	defaultTimeout      = 2 * time.Second
+	defaultLogRetention = 24 * time.Hour
+	defaultVMsInterval  = 2 * time.Second
+	defaultBalancerLag  = 3 * time.Second
+	defaultStopLimit    = 10 * time.Minute
+)
+
+// Defaults returns the settings that hold where a file gives none.
+func Defaults() Settings {
+	return Settings{
+		Platform: Platform{
+			Timeout:      defaultTimeout,
+			LogRetention: defaultLogRetention,
+			VMsInterval:  defaultVMsInterval,
+		},
+		Stop: Stop{BalancerLag: defaultBalancerLag, Limit: defaultStopLimit},
+		Logs: Logs{Format: "text", Level: "info"},
+	}
+}
+
+// Load reads a file, applies overrides from the environment and returns all
+// findings as one check.Findings error.
+func Load(path string, environment func(name string) (string, bool)) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data, environment)
+}
+
+// Parse reads settings from YAML; file stands in the findings.
+func Parse(file string, data []byte, environment func(name string) (string, bool)) (Settings, error) {
+	document, findings := check.DecodeOnto(file, data, Defaults())
+	settings := document.Value
+	findings = append(findings, override(&settings, environment)...)
+	findings = append(findings, checkSettings(document, settings)...)
+	return settings, findings.Err()
+}
+
+func checkSettings(document *check.Document[Settings], settings Settings) check.Findings {
+	var findings check.Findings
+	if settings.Name == "" {
+		findings.Add(document.Place("name"), "name is missing")
+	}
+	if settings.Zone == "" {
+		findings.Add(document.Place("zone"), "zone is missing")
+	}
+	if !slices.Contains(settings.Zones, settings.Zone) {
+		findings.Add(document.Place("zone"), "zone %q is not in zones", settings.Zone)
+	}
+	if settings.Logs.Format != "text" && settings.Logs.Format != "json" {
+		findings.Add(document.Place("logs", "format"), "format %q is neither text nor json", settings.Logs.Format)
+	}
+	checkAddresses(&findings, document, settings)
+	checkDurations(&findings, document, settings)
+	return findings
+}
+
+func checkAddresses(findings *check.Findings, document *check.Document[Settings], settings Settings) {
+	seen := make(map[netip.AddrPort]string)
+	for _, port := range []struct {
+		section string
+		key     string
+		address netip.AddrPort
+	}{
+		{section: "listen", key: "callers", address: settings.Listen.Callers},
+		{section: "listen", key: "daemons", address: settings.Listen.Daemons},
+		{section: "listen", key: "operators", address: settings.Listen.Operators},
+		{section: "platform", key: "log", address: settings.Platform.Log},
+		{section: "platform", key: "vms", address: settings.Platform.VMs},
+	} {
+		place := document.Place(port.section, port.key)
+		name := port.section + "." + port.key
+		if !port.address.IsValid() {
+			findings.Add(place, "%s has no address with port", name)
+			continue
+		}
+		if other, taken := seen[port.address]; taken && port.address.Port() != 0 {
+			findings.Add(place, "%s and %s are both %s", other, name, port.address)
+		}
+		seen[port.address] = name
+	}
+}
+
+func checkDurations(findings *check.Findings, document *check.Document[Settings], settings Settings) {
+	for _, period := range []struct {
+		section string
+		key     string
+		value   time.Duration
+	}{
+		{section: "platform", key: "timeout", value: settings.Platform.Timeout},
+		{section: "platform", key: "log_retention", value: settings.Platform.LogRetention},
+		{section: "platform", key: "vms_interval", value: settings.Platform.VMsInterval},
+		{section: "stop", key: "limit", value: settings.Stop.Limit},
+	} {
+		if period.value <= 0 {
+			findings.Add(document.Place(period.section, period.key), "%s.%s %s is not above 0", period.section, period.key, period.value)
+		}
+	}
+	if settings.Stop.BalancerLag < 0 {
+		findings.Add(document.Place("stop", "balancer_lag"), "stop.balancer_lag is negative")
+	}
+}
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon puts the services of one daemon together.
+package daemon
--- /dev/null
+++ b/entry/paths.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"time"
+)
+
+// The rule for paths that fail from this daemon.
+const (
+	pathFailures    = 2
+	pathAvoidPeriod = 3 * time.Second
+	maxPaths        = 4096
+)
+
+// Paths remembers to which upstreams this daemon cannot connect, whatever other
+// daemons see. It is pure.
+type Paths struct {
+	failed map[string]pathState
+}
+
+type pathState struct {
+	failures int
+	until    time.Time
+}
+
+// NewPaths returns a memory without failures.
+func NewPaths() *Paths {
+	return &Paths{failed: make(map[string]pathState)}
+}
+
+// Failed notes that an upstream could not be reached.
+func (p *Paths) Failed(now time.Time, upstream string) {
+	if len(p.failed) >= maxPaths {
+		p.forget(now)
+	}
+	state := p.failed[upstream]
+	state.failures++
+	if state.failures >= pathFailures {
+		state.until = now.Add(pathAvoidPeriod)
+	}
+	p.failed[upstream] = state
+}
+
+// Worked forgets the failures of an upstream.
+func (p *Paths) Worked(upstream string) {
+	delete(p.failed, upstream)
+}
+
+// Avoided reports whether an upstream is not to be asked for.
+func (p *Paths) Avoided(now time.Time, upstream string) bool {
+	return now.Before(p.failed[upstream].until)
+}
+
+// Any reports whether any failure is remembered.
+func (p *Paths) Any() bool { return len(p.failed) > 0 }
+
+func (p *Paths) forget(now time.Time) {
+	for upstream, state := range p.failed {
+		if !now.Before(state.until) {
+			delete(p.failed, upstream)
+		}
+	}
+}
--- /dev/null
+++ b/examples/fes/main.go
@@ -0,0 +1,18 @@
+// Command fes prints the deployment of a firm as YAML, as a configuration
+// repository of its own would.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"dandeliondoor/firms"
+)
+
+func main() {
+	deployment := firms.Fes(firms.FesSizes, firms.PrivateAddresses)
+	if err := deployment.Print(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/health/tracker.go
@@ -0,0 +1,409 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// The times and counts of ejection and return.
+const (
+	firstBackoff       = 2 * time.Second
+	maxBackoff         = time.Minute
+	backoffForgetAfter = 10 * time.Minute
+	coldPeriod         = 10 * time.Second
+	minSlowPeriod      = 400 * time.Millisecond
+	crashBackoff       = 500 * time.Millisecond
+	trialSamples       = 5
+	crashReports       = 2
+	soleReporterPeriod = 5 * time.Second
+	sickRise           = 0.15
+	broadSickRate      = 0.9
+	pathCutPeriod      = time.Second
+)
+
+// Tracker judges the upstreams of one pool.
+type Tracker struct {
+	upstreams  []*upstream
+	byName     map[string]*upstream
+	floorSlots int
+	baselines  *baselines
+	reporter   string
+	otherAt    time.Time
+	scratch    []float64
+}
+
+// NewTracker returns a tracker whose ejections leave at least floorSlots slots
+// of healthy capacity.
+func NewTracker(floorSlots int) *Tracker {
+	return &Tracker{byName: make(map[string]*upstream), floorSlots: floorSlots, baselines: newBaselines()}
+}
+
+// SetFloor changes the floor and readmits upstreams that it needs.
+func (t *Tracker) SetFloor(floorSlots int) []Verdict {
+	t.floorSlots = floorSlots
+	return t.keepFloor()
+}
+
+// Add starts to track an upstream; a cold one is not judged by latency for a
+// time.
+func (t *Tracker) Add(now time.Time, name string, slots int, cold bool) {
+	if known, found := t.byName[name]; found {
+		known.slots = slots
+		return
+	}
+	added := &upstream{name: name, slots: slots}
+	if cold {
+		added.state = Cold
+		added.until = now.Add(coldPeriod)
+	}
+	t.byName[name] = added
+	t.upstreams = append(t.upstreams, added)
+}
+
+// Remove forgets an upstream.
+func (t *Tracker) Remove(name string) []Verdict {
+	delete(t.byName, name)
+	for i, candidate := range t.upstreams {
+		if candidate.name == name {
+			t.upstreams = append(t.upstreams[:i], t.upstreams[i+1:]...)
+			break
+		}
+	}
+	return t.keepFloor()
+}
+
+// SetLeaving marks an upstream that takes no new work.
+func (t *Tracker) SetLeaving(name string, leaving bool) []Verdict {
+	if found, known := t.byName[name]; known {
+		found.leaving = leaving
+	}
+	return t.keepFloor()
+}
+
+// SetCold restarts the cold period of an upstream that says it is warming.
+func (t *Tracker) SetCold(now time.Time, name string) []Verdict {
+	found, known := t.byName[name]
+	if !known || (found.state != Healthy && found.state != Cold) {
+		return nil
+	}
+	found.state = Cold
+	found.until = now.Add(coldPeriod)
+	return t.keepFloor()
+}
+
+// State returns the standing of an upstream.
+func (t *Tracker) State(name string) State {
+	if found, known := t.byName[name]; known {
+		return found.state
+	}
+	return Out
+}
+
+// TrialWaiting reports since when an upstream waits for a trial request.
+func (t *Tracker) TrialWaiting(name string) (time.Time, bool) {
+	found, known := t.byName[name]
+	if !known || found.state != Trial {
+		return time.Time{}, false
+	}
+	return found.until, true
+}
+
+// Capacity returns the slots of the upstreams that are neither out, on trial,
+// leaving nor cold.
+func (t *Tracker) Capacity() int {
+	slots := 0
+	for _, candidate := range t.upstreams {
+		if candidate.counts() {
+			slots += candidate.slots
+		}
+	}
+	return slots
+}
+
+// Tick moves upstreams whose time is over to their next state.
+func (t *Tracker) Tick(now time.Time) {
+	for _, candidate := range t.upstreams {
+		if now.Before(candidate.until) {
+			continue
+		}
+		switch candidate.state {
+		case Cold:
+			candidate.state = Healthy
+		case Out:
+			candidate.state = Trial
+			candidate.trialGood = 0
+			candidate.trialDeviation = 0
+		case Healthy:
+			t.forgetBackoff(now, candidate)
+		case Trial:
+		}
+	}
+}
+
+func (t *Tracker) forgetBackoff(now time.Time, candidate *upstream) {
+	if candidate.backoff > 0 && now.Sub(candidate.until) > backoffForgetAfter {
+		candidate.backoff = 0
+	}
+}
+
+// Observe takes the evidence of one ended request.
+func (t *Tracker) Observe(now time.Time, sample Sample) []Verdict {
+	observed, known := t.byName[sample.Upstream]
+	if !known {
+		return nil
+	}
+	t.noteReporter(now, sample.Reporter)
+	switch sample.Outcome {
+	case Shed, Cancelled:
+		return nil
+	case Unreachable:
+		return t.observeUnreachable(now, observed, sample)
+	case Success, Failed, TimedOut, Lost:
+		return t.observeWork(now, observed, sample)
+	default:
+		return nil
+	}
+}
+
+// noteReporter remembers when a second reporter was last heard.
+func (t *Tracker) noteReporter(now time.Time, reporter string) {
+	if reporter != t.reporter {
+		t.reporter = reporter
+		t.otherAt = now
+	}
+}
+
+func (t *Tracker) soleReporter(now time.Time) bool {
+	return now.Sub(t.otherAt) > soleReporterPeriod
+}
+
+// observeUnreachable tells a crashed upstream from a path that is cut for one
+// reporter.
+func (t *Tracker) observeUnreachable(now time.Time, u *upstream, sample Sample) []Verdict {
+	othersReachIt := u.lastSuccessFrom != sample.Reporter && now.Sub(u.lastSuccess) < pathCutPeriod
+	if othersReachIt && !u.lastSuccess.IsZero() {
+		return []Verdict{PathCut{Upstream: u.name, Reporter: sample.Reporter}}
+	}
+	u.unreachable++
+	if u.state == Out || (u.state != Trial && u.unreachable < crashReports) {
+		return nil
+	}
+	u.state = Out
+	u.cause = CauseUnreachable
+	u.until = now.Add(crashBackoff)
+	verdicts := []Verdict{Ejected{Upstream: u.name, Cause: CauseUnreachable, Until: u.until}}
+	return append(verdicts, t.keepFloor()...)
+}
+
+func (t *Tracker) observeWork(now time.Time, u *upstream, sample Sample) []Verdict {
+	failed := sample.Outcome != Success
+	deviation, judged := 0.0, false
+	if !failed {
+		deviation, judged = t.baselines.deviation(sample.Route, sample.Duration)
+		u.unreachable = 0
+		u.lastSuccess = now
+		u.lastSuccessFrom = sample.Reporter
+	}
+	if u.state == Trial {
+		return t.observeTrial(now, u, failed, deviation)
+	}
+	t.addFailure(u, failed, sample.Reporter)
+	if !failed && judged && u.state == Healthy {
+		t.addSlowness(now, u, deviation, sample.Reporter)
+	}
+	if u.state == Out {
+		return nil
+	}
+	return t.judge(now, u)
+}
+
+func (t *Tracker) addFailure(u *upstream, failed bool, reporter string) {
+	base := t.peerFailureRate(u)
+	u.rare.add(failureRatio(failed, base, base+sickRise), reporter)
+	u.broad.add(failureRatio(failed, base, broadSickRate), reporter)
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	u.failureRate += failureWeight * (value - u.failureRate)
+}
+
+func (t *Tracker) addSlowness(now time.Time, u *upstream, deviation float64, reporter string) {
+	relative := deviation - math.Max(0, t.peerDeviation(u))
+	if u.slow.sum == 0 {
+		u.slowSince = now
+		t.baselines.learnSigma(relative)
+	}
+	u.slow.add(slowRatio(relative, t.baselines.sigma), reporter)
+	u.deviation += fastWeight * (deviation - u.deviation)
+}
+
+// peerFailureRate returns the median failure rate of the other upstreams.
+func (t *Tracker) peerFailureRate(u *upstream) float64 {
+	rate := t.peerMedian(u, func(peer *upstream) float64 { return peer.failureRate })
+	return math.Max(minFailureRate, math.Min(maxFailureRate, rate))
+}
+
+// peerDeviation returns the median shift of the other upstreams' latency.
+func (t *Tracker) peerDeviation(u *upstream) float64 {
+	return t.peerMedian(u, func(peer *upstream) float64 { return peer.deviation })
+}
+
+func (t *Tracker) peerMedian(u *upstream, value func(*upstream) float64) float64 {
+	values := t.scratch[:0]
+	for _, peer := range t.upstreams {
+		if peer != u && peer.state == Healthy {
+			values = append(values, value(peer))
+		}
+	}
+	t.scratch = values
+	return medianOf(values, 0)
+}
+
+// judge ejects an upstream against which the evidence suffices.
+func (t *Tracker) judge(now time.Time, u *upstream) []Verdict {
+	for _, test := range []struct {
+		cause Cause
+		sum   *cusum
+	}{
+		{cause: CauseFailures, sum: &u.broad},
+		{cause: CauseFailures, sum: &u.rare},
+		{cause: CauseSlow, sum: &u.slow},
+	} {
+		if !test.sum.alarmed() {
+			continue
+		}
+		if test.cause == CauseSlow && now.Sub(u.slowSince) < minSlowPeriod {
+			continue
+		}
+		reporter, shared := test.sum.loudest()
+		if !shared && !t.soleReporter(now) {
+			return []Verdict{PathCut{Upstream: u.name, Reporter: reporter}}
+		}
+		return t.eject(now, u, test.cause)
+	}
+	return nil
+}
+
+func (t *Tracker) eject(now time.Time, u *upstream, cause Cause) []Verdict {
+	capacity := t.Capacity()
+	if u.counts() {
+		capacity -= u.slots
+	}
+	if capacity < t.floorSlots || t.mostAreBad() {
+		return []Verdict{FloorReached{Upstream: u.name, Cause: cause}}
+	}
+	return []Verdict{t.putOut(now, u, cause)}
+}
+
+// mostAreBad reports whether half of the pool looks sick, which points at
+// something the upstreams share.
+func (t *Tracker) mostAreBad() bool {
+	bad := 0
+	for _, candidate := range t.upstreams {
+		if candidate.state == Out || candidate.sickness() >= alarmThreshold/2 {
+			bad++
+		}
+	}
+	return 2*bad > len(t.upstreams)
+}
+
+func (t *Tracker) putOut(now time.Time, u *upstream, cause Cause) Verdict {
+	u.backoff = min(max(2*u.backoff, firstBackoff), maxBackoff)
+	u.state = Out
+	u.cause = cause
+	u.until = now.Add(u.backoff)
+	return Ejected{Upstream: u.name, Cause: cause, Until: u.until}
+}
+
+func (t *Tracker) observeTrial(now time.Time, u *upstream, failed bool, deviation float64) []Verdict {
+	if failed {
+		return []Verdict{t.putOut(now, u, CauseTrial)}
+	}
+	u.trialGood++
+	u.trialDeviation += deviation
+	if u.trialGood < trialSamples {
+		return nil
+	}
+	if u.trialDeviation/trialSamples-math.Max(0, t.peerDeviation(u)) > slowShift/2 {
+		return []Verdict{t.putOut(now, u, CauseTrial)}
+	}
+	crashed := u.cause == CauseUnreachable
+	t.readmit(now, u)
+	if crashed {
+		u.state = Cold
+		u.until = now.Add(coldPeriod)
+	}
+	return []Verdict{Readmitted{Upstream: u.name, Reason: ReturnTrial}}
+}
+
+func (t *Tracker) readmit(now time.Time, u *upstream) {
+	u.state = Healthy
+	u.until = now
+	u.clearEvidence()
+}
+
+// keepFloor readmits the least sick upstreams while capacity is below the
+// floor.
+func (t *Tracker) keepFloor() []Verdict {
+	var verdicts []Verdict
+	for t.Capacity() < t.floorSlots {
+		least := t.leastSickOut()
+		if least == nil {
+			return verdicts
+		}
+		least.state = Healthy
+		least.clearEvidence()
+		verdicts = append(verdicts, Readmitted{Upstream: least.name, Reason: ReturnFloor})
+	}
+	return verdicts
+}
+
+func (t *Tracker) leastSickOut() *upstream {
+	var least *upstream
+	for _, candidate := range t.upstreams {
+		ejected := candidate.state == Out || candidate.state == Trial
+		if !ejected || candidate.leaving || candidate.cause == CauseUnreachable {
+			continue
+		}
+		if least == nil || candidate.sickness() < least.sickness() {
+			least = candidate
+		}
+	}
+	return least
+}
+
+// UpstreamState is the dump of one upstream's standing.
+type UpstreamState struct {
+	Name        string        `yaml:"name"`
+	State       string        `yaml:"state"`
+	Leaving     bool          `yaml:"leaving"`
+	Cause       Cause         `yaml:"cause,omitempty"`
+	Remaining   time.Duration `yaml:"remaining,omitempty"`
+	FailureRate float64       `yaml:"failure_rate"`
+	Failures    float64       `yaml:"failure_evidence"`
+	Slowness    float64       `yaml:"slow_evidence"`
+}
+
+// Dump returns the standing of each upstream.
+func (t *Tracker) Dump(now time.Time) []UpstreamState {
+	states := make([]UpstreamState, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		state := UpstreamState{
+			Name:        u.name,
+			State:       u.state.String(),
+			Leaving:     u.leaving,
+			FailureRate: math.Round(u.failureRate*1000) / 1000,
+			Failures:    math.Round(max(u.rare.sum, u.broad.sum)),
+			Slowness:    math.Round(u.slow.sum),
+		}
+		if u.state == Out {
+			state.Cause = u.cause
+		}
+		if u.state != Healthy && now.Before(u.until) {
+			state.Remaining = u.until.Sub(now).Round(time.Millisecond)
+		}
+		states = append(states, state)
+	}
+	return states
+}
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,117 @@
+package logs
+
+import (
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// partField is the key of the prefix that names the part of the program.
+const partField = "part"
+
+// Logger writes the log of one process.
+type Logger struct {
+	root *logrus.Logger
+}
+
+// New returns a logger that writes text or json to w.
+func New(w io.Writer, format, level string) (*Logger, error) {
+	root := logrus.New()
+	root.SetOutput(w)
+	switch format {
+	case "json":
+		root.SetFormatter(&logrus.JSONFormatter{})
+	case "text":
+		root.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	default:
+		return nil, errors.Errorf("log format %q is neither text nor json", format)
+	}
+	logger := &Logger{root: root}
+	return logger, logger.SetLevel(level)
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	root := logrus.New()
+	root.SetOutput(io.Discard)
+	return &Logger{root: root}
+}
+
+// Part returns the log of one part; each line carries its prefix.
+func (l *Logger) Part(name string) *logrus.Entry {
+	return l.root.WithField(partField, name)
+}
+
+// Level returns the current level.
+func (l *Logger) Level() string {
+	return l.root.GetLevel().String()
+}
+
+// SetLevel changes the level while the process runs.
+func (l *Logger) SetLevel(level string) error {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return errors.Wrap(err, "set log level")
+	}
+	l.root.SetLevel(parsed)
+	return nil
+}
+
+// TakeLibraryLogs sends the lines of go-zero's logx to the logger.
+func (l *Logger) TakeLibraryLogs() {
+	logx.SetWriter(libraryWriter{entry: l.Part("library")})
+	logx.DisableStat()
+}
+
+// libraryWriter is a logx.Writer on top of logrus.
+type libraryWriter struct {
+	entry *logrus.Entry
+}
+
+var _ logx.Writer = libraryWriter{}
+
+// Alert logs at error level.
+func (w libraryWriter) Alert(v any) { w.entry.Error(v) }
+
+// Close does nothing.
+func (w libraryWriter) Close() error { return nil }
+
+// Debug logs at debug level.
+func (w libraryWriter) Debug(v any, fields ...logx.LogField) { w.with(fields).Debug(v) }
+
+// Error logs at error level.
+func (w libraryWriter) Error(v any, fields ...logx.LogField) { w.with(fields).Error(v) }
+
+// Info logs at trace level, for a library's news is detail to an operator.
+func (w libraryWriter) Info(v any, fields ...logx.LogField) { w.with(fields).Trace(v) }
+
+// Severe logs at error level.
+func (w libraryWriter) Severe(v any) { w.entry.Error(v) }
+
+// Slow logs at warning level.
+func (w libraryWriter) Slow(v any, fields ...logx.LogField) { w.with(fields).Warn(v) }
+
+// Stack logs the first line of a stack at error level.
+func (w libraryWriter) Stack(v any) {
+	text, isText := v.(string)
+	if !isText {
+		w.entry.Error(v)
+		return
+	}
+	line, _, _ := strings.Cut(text, "\n")
+	w.entry.Error(line)
+}
+
+// Stat logs at debug level.
+func (w libraryWriter) Stat(v any, fields ...logx.LogField) { w.with(fields).Debug(v) }
+
+func (w libraryWriter) with(fields []logx.LogField) *logrus.Entry {
+	entry := w.entry
+	for _, field := range fields {
+		entry = entry.WithField(field.Key, field.Value)
+	}
+	return entry
+}
--- /dev/null
+++ b/model/check.go
@@ -0,0 +1,150 @@
+package model
+
+import (
+	"strings"
+	"time"
+
+	"dandeliondoor/check"
+)
+
+// The bounds that a declaration has to keep.
+const (
+	maxDeadline       = 10 * time.Minute
+	maxSlots          = 10_000
+	maxNameLength     = 100
+	percentAll        = 100
+	minConnectionsFor = 1
+)
+
+// CheckDeployment reports everything that is wrong with a deployment.
+func CheckDeployment(file string, deployment Deployment) check.Findings {
+	var findings check.Findings
+	place := check.Place{File: file}
+	names := newUniqueNames(&findings, place)
+	routes := newUniqueNames(&findings, place)
+	addresses := newUniqueNames(&findings, place)
+	for _, service := range deployment.Services {
+		names.add("service", service.Name)
+		findings = append(findings, CheckService(file, service)...)
+		for _, route := range service.Routes {
+			routes.add("host and path prefix", route.Host+route.PathPrefix)
+		}
+		for _, upstream := range service.Upstreams {
+			addresses.add("upstream address", upstream.Address.String())
+		}
+	}
+	accounts := newUniqueNames(&findings, place)
+	for _, shard := range deployment.AccountShards {
+		names.add("account shard", shard.Name)
+		findings = append(findings, CheckAccounts(file, shard)...)
+		for _, account := range shard.Accounts {
+			accounts.add("account", account.Name)
+		}
+	}
+	return findings
+}
+
+// CheckService reports everything that is wrong with one service.
+func CheckService(file string, service Service) check.Findings {
+	var findings check.Findings
+	place := check.Place{File: file}
+	at := "service " + service.Name + ": "
+	checkName(&findings, place, "service", service.Name)
+	checkPercent(&findings, place, at+"floor_percent", service.FloorPercent)
+	checkPercent(&findings, place, at+"retry_budget_percent", service.RetryBudgetPercent)
+	if len(service.Upstreams) == 0 {
+		findings.Add(place, "%sno upstream is declared", at)
+	}
+	if len(service.Routes) == 0 {
+		findings.Add(place, "%sno route is declared", at)
+	}
+	upstreams := newUniqueNames(&findings, place)
+	for _, upstream := range service.Upstreams {
+		upstreams.add(at+"upstream", upstream.Name)
+		checkUpstream(&findings, place, at, upstream)
+	}
+	routes := newUniqueNames(&findings, place)
+	for _, route := range service.Routes {
+		routes.add(at+"route", route.Name)
+		checkRoute(&findings, place, at, route)
+	}
+	return findings
+}
+
+// CheckAccounts reports everything that is wrong with a shard of accounts.
+func CheckAccounts(file string, shard AccountShard) check.Findings {
+	var findings check.Findings
+	place := check.Place{File: file}
+	checkName(&findings, place, "account shard", shard.Name)
+	for _, account := range shard.Accounts {
+		checkName(&findings, place, "account", account.Name)
+		if account.MaxInFlight < 0 {
+			findings.Add(place, "account %s: max_in_flight %d is negative", account.Name, account.MaxInFlight)
+		}
+	}
+	return findings
+}
+
+func checkUpstream(findings *check.Findings, place check.Place, at string, upstream Upstream) {
+	at += "upstream " + upstream.Name + ": "
+	checkName(findings, place, "upstream", upstream.Name)
+	if !upstream.Address.IsValid() || upstream.Address.Port() == 0 {
+		findings.Add(place, "%saddress %s has no port", at, upstream.Address)
+	}
+	if upstream.Zone == "" {
+		findings.Add(place, "%szone is missing", at)
+	}
+	if upstream.Slots < 1 || upstream.Slots > maxSlots {
+		findings.Add(place, "%sslots %d is not within 1 to %d", at, upstream.Slots, maxSlots)
+	}
+	if upstream.Connections < max(upstream.Slots, minConnectionsFor) {
+		findings.Add(place, "%sconnections %d is below its slots", at, upstream.Connections)
+	}
+}
+
+func checkRoute(findings *check.Findings, place check.Place, at string, route Route) {
+	at += "route " + route.Name + ": "
+	checkName(findings, place, "route", route.Name)
+	if route.Host == "" || strings.ContainsAny(route.Host, " /:") {
+		findings.Add(place, "%shost %q is not a host name", at, route.Host)
+	}
+	if !strings.HasPrefix(route.PathPrefix, "/") {
+		findings.Add(place, "%spath_prefix %q does not start with /", at, route.PathPrefix)
+	}
+	if route.Deadline <= 0 || route.Deadline > maxDeadline {
+		findings.Add(place, "%sdeadline %s is not within 0 to %s", at, route.Deadline, maxDeadline)
+	}
+}
+
+func checkName(findings *check.Findings, place check.Place, kind, name string) {
+	if name == "" {
+		findings.Add(place, "%s without a name", kind)
+	}
+	if len(name) > maxNameLength || strings.ContainsAny(name, " /\t\n") {
+		findings.Add(place, "%s name %q has a blank or slash, or is too long", kind, name)
+	}
+}
+
+func checkPercent(findings *check.Findings, place check.Place, key string, percent int) {
+	if percent < 0 || percent > percentAll {
+		findings.Add(place, "%s %d is not within 0 to %d", key, percent, percentAll)
+	}
+}
+
+// uniqueNames reports each name that was added before.
+type uniqueNames struct {
+	findings *check.Findings
+	place    check.Place
+	seen     map[string]struct{}
+}
+
+func newUniqueNames(findings *check.Findings, place check.Place) *uniqueNames {
+	return &uniqueNames{findings: findings, place: place, seen: make(map[string]struct{})}
+}
+
+func (u *uniqueNames) add(kind, name string) {
+	if _, found := u.seen[name]; found {
+		u.findings.Add(u.place, "%s %s is declared twice", kind, name)
+	}
+	u.seen[name] = struct{}{}
+}
--- /dev/null
+++ b/model/doc.go
@@ -0,0 +1,3 @@
+// Package model holds the documents that operators publish: services with
+// their upstreams and routes, and client accounts with their limits.
+package model
--- /dev/null
+++ b/plat/doc.go
@@ -0,0 +1,3 @@
+// Package plat speaks the platform's two contracts: the append-only log and
+// the list of VMs.
+package plat
--- /dev/null
+++ b/pubs/doc.go
@@ -0,0 +1,3 @@
+// Package pubs publishes deployments to the platform's log and says what became
+// of them.
+package pubs
--- /dev/null
+++ b/pubs/publisher.go
@@ -0,0 +1,164 @@
+package pubs
+
+import (
+	"context"
+	"time"
+
+	"dandeliondoor/fold"
+	"dandeliondoor/plat"
+)
+
+// The waits for a record of which the answer was lost.
+const (
+	readBackInterval = 200 * time.Millisecond
+	readsPerAppend   = 10
+	maxAppends       = 3
+)
+
+// Log is what a publisher needs of the platform's log.
+type Log interface {
+	Append(ctx context.Context, data []byte) (uint64, error)
+	Read(ctx context.Context, from uint64) (plat.Batch, error)
+}
+
+var _ Log = &plat.Log{}
+
+// Publisher publishes to one log.
+type Publisher struct {
+	log   Log
+	state *fold.State
+}
+
+// NewPublisher returns a publisher that has read nothing yet.
+func NewPublisher(log Log) *Publisher {
+	return &Publisher{log: log, state: fold.NewState()}
+}
+
+// State returns what is in force as far as the log was read.
+func (p *Publisher) State() *fold.State { return p.state }
+
+// Load folds the log up to its end. The result is nil when that worked.
+func (p *Publisher) Load(ctx context.Context) Result {
+	batch, err := p.log.Read(ctx, 0)
+	if err != nil {
+		return Unreachable{Err: err}
+	}
+	if batch.Earliest > 0 {
+		state, err := p.fromCheckpoint(ctx, batch.Earliest)
+		if err != nil {
+			return Unreachable{Err: err}
+		}
+		if state == nil {
+			return Uncovered{Earliest: batch.Earliest}
+		}
+		p.state = state
+	}
+	if _, err := p.readOn(ctx, ""); err != nil {
+		return Unreachable{Err: err}
+	}
+	return nil
+}
+
+// fromCheckpoint returns the state of the first complete checkpoint.
+func (p *Publisher) fromCheckpoint(ctx context.Context, earliest uint64) (*fold.State, error) {
+	assembler := fold.NewAssembler(earliest)
+	for from := earliest; ; {
+		batch, err := p.log.Read(ctx, from)
+		if err != nil {
+			return nil, err
+		}
+		for _, record := range batch.Records {
+			if state, complete := assembler.Add(record.Data); complete {
+				return state, nil
+			}
+			from = record.Offset + 1
+		}
+		if from >= batch.Next || len(batch.Records) == 0 {
+			return nil, nil
+		}
+	}
+}
+
+// readOn folds up to the end of the log and returns what became of the
+// publication of the given id, or nil when it is not there.
+func (p *Publisher) readOn(ctx context.Context, id string) (fold.Result, error) {
+	var found fold.Result
+	for {
+		batch, err := p.log.Read(ctx, p.state.Position())
+		if err != nil {
+			return found, err
+		}
+		for _, record := range batch.Records {
+			result := p.state.Apply(record.Offset, record.Data)
+			if found == nil && idOf(result) == id && id != "" {
+				found = result
+			}
+		}
+		if p.state.Position() >= batch.Next || len(batch.Records) == 0 {
+			return found, nil
+		}
+	}
+}
+
+func idOf(result fold.Result) string {
+	switch result := result.(type) {
+	case fold.Accepted:
+		return result.ID
+	case fold.Rejected:
+		return result.ID
+	default:
+		return ""
+	}
+}
+
+// Publish appends a publication and reads the log until its own record says
+// what became of it. After a lost answer it looks for the record before it
+// appends it again, which is harmless under the same id.
+func (p *Publisher) Publish(ctx context.Context, publication fold.Publication) Result {
+	data, err := fold.Encode(fold.Record{Publication: &publication})
+	if err != nil {
+		return Unreachable{Err: err}
+	}
+	answerLost := false
+	for range maxAppends {
+		_, appendErr := p.log.Append(ctx, data)
+		if appendErr != nil {
+			answerLost = true
+			err = appendErr
+		}
+		found, readErr := p.readBack(ctx, publication.ID)
+		if readErr != nil {
+			err = readErr
+		}
+		switch found := found.(type) {
+		case fold.Accepted:
+			return Accepted{ID: found.ID, Documents: found.Documents, AnswerLost: answerLost}
+		case fold.Rejected:
+			return LostRace{ID: found.ID, Conflicts: found.Conflicts}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return NotSeen{ID: publication.ID, Err: err}
+}
+
+// readBack reads the log some times over until the record is there.
+func (p *Publisher) readBack(ctx context.Context, id string) (fold.Result, error) {
+	var err error
+	for range readsPerAppend {
+		var found fold.Result
+		found, err = p.readOn(ctx, id)
+		if found != nil {
+			return found, nil
+		}
+		timer := time.NewTimer(readBackInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, ctx.Err()
+		}
+	}
+	return nil, err
+}
--- /dev/null
+++ b/pubs/result.go
@@ -0,0 +1,59 @@
+package pubs
+
+import "dandeliondoor/fold"
+
+// Result is what became of a publication.
+type Result interface{ isResult() }
+
+// Accepted means that the publication is the winner for each of its documents.
+// AnswerLost says that the log's answer did not come and the record was found.
+type Accepted struct {
+	ID         string
+	Documents  []fold.Document
+	AnswerLost bool
+}
+
+// LostRace means that another publication came first.
+type LostRace struct {
+	ID        string
+	Conflicts []fold.Conflict
+}
+
+// Unreachable means that the log could not be read, and nothing was written.
+type Unreachable struct{ Err error }
+
+// NotSeen means that the log's answer did not come and the record has not been
+// seen yet; it may still appear.
+type NotSeen struct {
+	ID  string
+	Err error
+}
+
+// Uncovered means that the log has neither its first record nor a checkpoint,
+// so that nobody can tell what is in force.
+type Uncovered struct{ Earliest uint64 }
+
+// Empty means that the log holds no document, which is right only for the
+// first publication of all.
+type Empty struct{}
+
+// Unchanged means that what would be published is in force already.
+type Unchanged struct{}
+
+var (
+	_ Result = Accepted{}
+	_ Result = LostRace{}
+	_ Result = Unreachable{}
+	_ Result = NotSeen{}
+	_ Result = Uncovered{}
+	_ Result = Empty{}
+	_ Result = Unchanged{}
+)
+
+func (Accepted) isResult()    {}
+func (LostRace) isResult()    {}
+func (Unreachable) isResult() {}
+func (NotSeen) isResult()     {}
+func (Uncovered) isResult()   {}
+func (Empty) isResult()       {}
+func (Unchanged) isResult()   {}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,103 @@
+package route
+
+import (
+	"net"
+	"strings"
+
+	"dandeliondoor/model"
+)
+
+// Target is where a request leads.
+type Target struct {
+	Service *Service
+	Route   model.Route
+}
+
+// Service is a declared service with its pools.
+type Service struct {
+	model.Service
+	Pools []model.Pool
+}
+
+// Table is an immutable view of the configuration in force.
+type Table struct {
+	services map[string]*Service
+	routes   map[string]Target
+	accounts map[string]model.Account
+	pools    map[string]PoolOwner
+}
+
+// PoolOwner is a pool with the service that it is a part of.
+type PoolOwner struct {
+	Service *Service
+	Pool    model.Pool
+}
+
+// New returns the table of a deployment.
+func New(deployment model.Deployment) *Table {
+	table := &Table{
+		services: make(map[string]*Service, len(deployment.Services)),
+		routes:   make(map[string]Target),
+		accounts: make(map[string]model.Account),
+		pools:    make(map[string]PoolOwner),
+	}
+	for _, declared := range deployment.Services {
+		table.addService(declared)
+	}
+	for _, shard := range deployment.AccountShards {
+		for _, account := range shard.Accounts {
+			table.accounts[account.Name] = account
+		}
+	}
+	return table
+}
+
+func (t *Table) addService(declared model.Service) {
+	service := &Service{Service: declared, Pools: model.Pools(declared)}
+	t.services[declared.Name] = service
+	for _, declaredRoute := range declared.Routes {
+		t.routes[declaredRoute.Host+declaredRoute.PathPrefix] = Target{Service: service, Route: declaredRoute}
+	}
+	for _, pool := range service.Pools {
+		t.pools[pool.Key] = PoolOwner{Service: service, Pool: pool}
+	}
+}
+
+// Find returns the target with the longest path prefix, counted in whole path
+// elements, for a host with or without port.
+func (t *Table) Find(host, path string) (Target, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for prefix := path; ; {
+		if target, found := t.routes[host+prefix]; found {
+			return target, true
+		}
+		at := strings.LastIndexByte(prefix, '/')
+		if at < 0 || prefix == "/" {
+			return Target{}, false
+		}
+		prefix = prefix[:max(at, 1)]
+	}
+}
+
+// Account returns the declared account of a name.
+func (t *Table) Account(name string) (model.Account, bool) {
+	account, found := t.accounts[name]
+	return account, found
+}
+
+// Accounts returns the count of accounts.
+func (t *Table) Accounts() int { return len(t.accounts) }
+
+// Pool returns a pool by its key.
+func (t *Table) Pool(key string) (PoolOwner, bool) {
+	owner, found := t.pools[key]
+	return owner, found
+}
+
+// Services returns all services by name; it is not to be changed.
+func (t *Table) Services() map[string]*Service { return t.services }
+
+// Routes returns the count of routes.
+func (t *Table) Routes() int { return len(t.routes) }
--- /dev/null
+++ b/stand/tracked.go
@@ -0,0 +1,60 @@
+package stand
+
+import (
+	"net"
+	"sync"
+)
+
+// TrackedListener can break all connections that it accepted, as a crash of
+// their process does.
+type TrackedListener struct {
+	net.Listener
+
+	mutex sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// NewTrackedListener returns a listener around another one.
+func NewTrackedListener(listener net.Listener) *TrackedListener {
+	return &TrackedListener{Listener: listener, conns: make(map[net.Conn]struct{})}
+}
+
+// Accept waits for the next connection.
+func (t *TrackedListener) Accept() (net.Conn, error) {
+	conn, err := t.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, listener: t}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.conns[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// BreakAll resets all open connections.
+func (t *TrackedListener) BreakAll() {
+	t.mutex.Lock()
+	conns := make([]net.Conn, 0, len(t.conns))
+	for conn := range t.conns {
+		conns = append(conns, conn)
+	}
+	t.mutex.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
+// trackedConn leaves its listener when it is closed.
+type trackedConn struct {
+	net.Conn
+	listener *TrackedListener
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.listener.mutex.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mutex.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,113 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// Receiver is a named set of methods in the form that net/rpc asks for.
+type Receiver struct {
+	Name    string
+	Methods any
+}
+
+// Session is one connection of another daemon.
+type Session struct {
+	mutex sync.Mutex
+	ends  []func()
+}
+
+// OnEnd registers a call for the end of the connection.
+func (s *Session) OnEnd(end func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ends = append(s.ends, end)
+}
+
+func (s *Session) end() {
+	s.mutex.Lock()
+	ends := s.ends
+	s.ends = nil
+	s.mutex.Unlock()
+	for _, end := range ends {
+		end()
+	}
+}
+
+// Factory returns the receivers of a new session.
+type Factory func(session *Session) []Receiver
+
+// Server serves the calls of other daemons.
+type Server struct {
+	factories []Factory
+	meter     *Meter
+}
+
+// NewServer returns a server that counts its traffic on the meter.
+func NewServer(meter *Meter) *Server {
+	return &Server{meter: meter}
+}
+
+// Add registers a factory; it has to come before Serve.
+func (s *Server) Add(factory Factory) {
+	s.factories = append(s.factories, factory)
+}
+
+// Serve accepts connections until the context ends, and returns once each
+// connection is closed.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	var connections sync.WaitGroup
+	defer connections.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept daemon connection")
+		}
+		connections.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	session := &Session{}
+	defer session.end()
+	server := rpc.NewServer()
+	if err := server.RegisterName(pingReceiver, &pinger{}); err != nil {
+		return
+	}
+	for _, factory := range s.factories {
+		for _, receiver := range factory(session) {
+			if err := server.RegisterName(receiver.Name, receiver.Methods); err != nil {
+				return
+			}
+		}
+	}
+	server.ServeConn(meteredConn{Conn: conn, meter: s.meter})
+}
+
+// The heartbeat call.
+const (
+	pingReceiver = "Ping"
+	pingMethod   = "Ping.Echo"
+)
+
+// Heartbeat is the empty argument and answer of a heartbeat.
+type Heartbeat struct{ Seq uint64 }
+
+type pinger struct{}
+
+// Echo answers a heartbeat.
+func (*pinger) Echo(request Heartbeat, reply *Heartbeat) error {
+	*reply = request
+	return nil
+}
