Prove the publication fold over interleavings of log, readers and renewers

Cause: accepted configuration must never revert, of two operators one wins, and a daemon may start inside a log that forgot its beginning. Nothing showed it.

Ruled out: example-based cases alone, since the failures sit in orders of publish, renew, truncate, join and read that nobody would write down.

Change: a rapid state machine drives the real fold; checkpoints take the size of a part, so that the test has checkpoints of several parts.

Conclusion: the fold keeps its promises in every order the model reaches. Log resets are not in the model yet.

--- a/fold/checkpoint.go
+++ b/fold/checkpoint.go
@@ -1,7 +1,8 @@
 package fold
 
-// Checkpoints cuts the state into the parts of one checkpoint.
-func Checkpoints(state *State, id string) []Checkpoint {
+// Checkpoints cuts the state into the parts of one checkpoint; a part ends with
+// the document that brings it to partBytes.
+func Checkpoints(state *State, id string, partBytes int) []Checkpoint {
 	var parts []Checkpoint
 	var documents []Document
 	size := 0
@@ -12,7 +13,7 @@
 	for _, document := range state.Documents() {
 		documents = append(documents, document)
 		size += len(document.Name) + len(document.Body)
-		if size >= checkpointPartBytes {
+		if size >= partBytes {
 			flush()
 		}
 	}
--- a/fold/record.go
+++ b/fold/record.go
@@ -9,8 +9,8 @@
 // MaxRecordBytes is the largest record that the fold accepts.
 const MaxRecordBytes = 256 << 10
 
-// checkpointPartBytes is the size at which a checkpoint starts its next part.
-const checkpointPartBytes = 64 << 10
+// CheckpointPartBytes is the usual size of a part of a checkpoint.
+const CheckpointPartBytes = 64 << 10
 
 // Record is one entry of the log; exactly one of its fields is set.
 type Record struct {
