--- a/broker/pool.go
+++ b/broker/pool.go
@@ -123,7 +123,7 @@
 		learner:  newLearner(),
 		tracker:  health.NewTracker(0),
 		memory:   crash.NewMemory(),
-		random:   rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // Ties need no secret.
+		random:   rand.New(rand.NewPCG(seed, seed)),
 		entries:  1,
 		settled:  now.Add(settlePeriod),
 		longRule: LongByDemand{},
@@ -207,11 +207,11 @@
 // admit refuses or redirects an ask that should not enter the queue.
 func (p *Pool) admit(now time.Time, entered *waiting) (Action, bool) {
 	ask := entered.ask
-	if !p.anyUsable(now) {
+	if !p.anyUsable(now) || !p.anyPresent(ask.Avoid) {
 		if sibling, found := p.betterSibling(now, math.MaxInt64); found && !ask.Redirected {
 			return Redirected{ID: ask.ID, Pool: sibling}, true
 		}
-		if len(p.servers) == 0 || !p.anyPresent() {
+		if !p.anyPresent(ask.Avoid) {
 			return Refused{ID: ask.ID, Reason: ReasonNoUpstream, RetryAfter: minRetryAfter}, true
 		}
 	}
--- a/broker/serve.go
+++ b/broker/serve.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		p.queues[class].remove(next.ask.ID)
-		return p.grant(now, next, chosen, false), true
+		return p.grant(next, chosen, false), true
 	}
 	return nil, false
 }
@@ -120,9 +120,12 @@
 	return slices.ContainsFunc(p.servers, func(s *server) bool { return p.usable(now, s) })
 }
 
-// anyPresent reports whether an upstream is there that is not leaving.
-func (p *Pool) anyPresent() bool {
-	return slices.ContainsFunc(p.servers, func(s *server) bool { return !s.leaving() })
+// anyPresent reports whether an upstream is there that is neither leaving nor
+// avoided.
+func (p *Pool) anyPresent(avoid []string) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		return !s.leaving() && !slices.Contains(avoid, s.name)
+	})
 }
 
 func (p *Pool) usable(now time.Time, s *server) bool {
@@ -245,7 +248,7 @@
 	return best
 }
 
-func (p *Pool) grant(now time.Time, w *waiting, s *server, alone bool) Action {
+func (p *Pool) grant(w *waiting, s *server, alone bool) Action {
 	p.begin(&grant{
 		id:          w.ask.ID,
 		server:      s,
@@ -272,7 +275,7 @@
 		return nil
 	}
 	p.dropSuspect(0)
-	return []Action{p.grant(now, next, s, true)}
+	return []Action{p.grant(next, s, true)}
 }
 
 // reserve returns the upstream that is emptied for a suspect.
--- a/broker/server.go
+++ b/broker/server.go
@@ -33,10 +33,6 @@
 	}
 }
 
-func (s *server) free() int {
-	return s.slots - s.running
-}
-
 func (s *server) leaving() bool {
 	return s.saysLeaving || s.listLeaving
 }
--- a/cmds/publishcmd.go
+++ b/cmds/publishcmd.go
@@ -133,10 +133,12 @@
 			"publication %s: the answer was lost and the record is not seen yet; run publish again", result.ID)}
 	case pubs.Uncovered:
 		return &ExitError{Code: ExitUnreachable, Err: errors.Errorf(
-			"the log starts at offset %d and holds no checkpoint yet; wait for the daemons to renew it", result.Earliest)}
+			"the log starts at offset %d and holds no checkpoint yet; wait for the daemons to renew it", result.Earliest,
+		)}
 	case pubs.Empty:
 		return &ExitError{Code: ExitInvalid, Err: errors.New(
-			"the log holds no document; --first is for the first publication of all")}
+			"the log holds no document; --first is for the first publication of all",
+		)}
 	default:
 		return nil
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 // Daemon is one process of the fleet.
 type Daemon struct {
 	settings config.Settings
+	open     Listeners
 	kernel   *kernel.Kernel
 	entry    *entry.Service
 	spread   *spread.Service
@@ -38,55 +39,69 @@
 	errNoConfiguration = errors.New("no configuration is in force")
 )
 
-// listeners are the open ports of a daemon.
-type listeners struct {
-	callers   net.Listener
-	daemons   net.Listener
-	operators net.Listener
+// Listeners are the open ports of a daemon.
+type Listeners struct {
+	Callers   net.Listener
+	Daemons   net.Listener
+	Operators net.Listener
+}
+
+// Option changes a daemon at its construction.
+type Option func(*Daemon)
+
+// WithListeners gives the daemon ports that are open already.
+func WithListeners(open Listeners) Option {
+	return func(d *Daemon) { d.open = open }
 }
 
 // New opens the daemon's ports and builds its services; nothing runs yet.
-func New(settings config.Settings, logger *logs.Logger) (*Daemon, error) {
-	open, err := listen(settings)
-	if err != nil {
-		return nil, err
-	}
+func New(settings config.Settings, logger *logs.Logger, options ...Option) (*Daemon, error) {
 	d := &Daemon{settings: settings, meter: &wire.Meter{}, logger: logger}
-	if err := d.build(open); err != nil {
+	for _, option := range options {
+		option(d)
+	}
+	if d.open == (Listeners{}) {
+		open, err := listen(settings)
+		if err != nil {
+			return nil, err
+		}
+		d.open = open
+	}
+	if err := d.build(d.open); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
-func listen(settings config.Settings) (listeners, error) {
-	var open listeners
+func listen(settings config.Settings) (Listeners, error) {
+	var open Listeners
 	for _, port := range []struct {
 		address  netip.AddrPort
 		listener *net.Listener
 	}{
-		{address: settings.Listen.Callers, listener: &open.callers},
-		{address: settings.Listen.Daemons, listener: &open.daemons},
-		{address: settings.Listen.Operators, listener: &open.operators},
+		{address: settings.Listen.Callers, listener: &open.Callers},
+		{address: settings.Listen.Daemons, listener: &open.Daemons},
+		{address: settings.Listen.Operators, listener: &open.Operators},
 	} {
 		listener, err := net.Listen("tcp", port.address.String())
 		if err != nil {
 			open.close()
-			return listeners{}, errors.Wrap(err, "open port")
+			return Listeners{}, errors.Wrap(err, "open port")
 		}
 		*port.listener = listener
 	}
 	return open, nil
 }
 
-func (l listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.daemons, l.operators} {
+func (l Listeners) close() {
+	for _, listener := range []net.Listener{l.Callers, l.Daemons, l.Operators} {
 		if listener != nil {
 			_ = listener.Close()
 		}
 	}
 }
 
-func (d *Daemon) build(open listeners) error {
+func (d *Daemon) build(open Listeners) error {
 	settings := d.settings
 	seed := rank.Score(settings.Name, settings.Zone)
 	registry := prometheus.NewRegistry()
@@ -105,8 +120,8 @@
 	members.Watch(brokers.Changed)
 	client := grant.NewClient(members, peers, brokers, seed, d.logger.Part(grant.Name))
 	handler := entry.NewHandler(d.spread, members, client, registry, d.logger.Part(entry.Name))
-	d.entry = entry.NewService(open.callers, handler, client, settings.Stop.BalancerLag, d.logger.Part(entry.Name))
-	operators, err := admin.New(open.operators, registry, d.logger, d.Ready, d.spread.Status)
+	d.entry = entry.NewService(open.Callers, handler, client, settings.Stop.BalancerLag, d.logger.Part(entry.Name))
+	operators, err := admin.New(open.Operators, registry, d.logger, d.Ready, d.spread.Status)
 	if err != nil {
 		return err
 	}
@@ -115,7 +130,7 @@
 	server.Add(brokers.Receivers)
 	d.kernel = kernel.New(
 		operators,
-		&peerService{peers: peers, server: server, listener: open.daemons},
+		&peerService{peers: peers, server: server, listener: open.Daemons},
 		members,
 		d.spread,
 		brokers,
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -62,6 +62,7 @@
 		},
 	} {
 		registry.MustRegister(prometheus.NewCounterFunc(
-			prometheus.CounterOpts{Name: counter.name, Help: counter.help}, counter.read))
+			prometheus.CounterOpts{Name: counter.name, Help: counter.help}, counter.read,
+		))
 	}
 }
--- a/entry/body.go
+++ b/entry/body.go
@@ -78,7 +78,7 @@
 		_, _ = digest.WriteString("\x00")
 	}
 	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(b.length)) //nolint:gosec // Any bit pattern serves a hash.
+	binary.BigEndian.PutUint64(length[:], uint64(b.length))
 	_, _ = digest.Write(length[:])
 	_, _ = digest.Write(b.buffered)
 	return crash.Fingerprint(max(digest.Sum64(), 1))
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -93,5 +93,5 @@
 	if err != nil || milliseconds == 0 {
 		return 0, false, errBadDeadline
 	}
-	return time.Duration(milliseconds) * time.Millisecond, true, nil //nolint:gosec // Parsed within 31 bits.
+	return time.Duration(milliseconds) * time.Millisecond, true, nil
 }
--- a/grant/client.go
+++ b/grant/client.go
@@ -96,7 +96,7 @@
 		held:     make(map[broker.GrantID]*Lease),
 		fallback: NewFallback(seed),
 	}
-	c.seq.Store(uint64(time.Now().UnixNano())) //nolint:gosec // The clock is after 1970.
+	c.seq.Store(uint64(time.Now().UnixNano()))
 	return c
 }
 
@@ -157,7 +157,7 @@
 		Suspect:     request.Suspect,
 	}
 	order := c.poolOrder(request.Service, ask.ID.Seq)
-	var refusal error = errNoBroker
+	refusal := errNoBroker
 	for hop := 0; hop < maxHops && len(order) > 0; hop++ {
 		pool := order[0]
 		order = order[1:]
@@ -222,7 +222,7 @@
 	if len(pools) == 0 {
 		return nil
 	}
-	at := int(by % uint64(len(pools))) //nolint:gosec // A remainder of a small length.
+	at := int(by % uint64(len(pools)))
 	return append(append(make([]model.Pool, 0, len(pools)), pools[at:]...), pools[:at]...)
 }
 
--- a/grant/fallback.go
+++ b/grant/fallback.go
@@ -29,7 +29,7 @@
 // NewFallback returns a choice without knowledge.
 func NewFallback(seed uint64) *Fallback {
 	return &Fallback{
-		random:    rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // Spreading load needs no secret.
+		random:    rand.New(rand.NewPCG(seed, seed)),
 		upstreams: make(map[string]*seenUpstream),
 	}
 }
--- a/health/upstream.go
+++ b/health/upstream.go
@@ -44,7 +44,6 @@
 	slowSince   time.Time
 
 	unreachable     int
-	unreachableFrom string
 	lastSuccess     time.Time
 	lastSuccessFrom string
 
--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -394,12 +394,29 @@
 	return answer{status: response.StatusCode, header: response.Header, trailer: response.Trailer, body: string(text), err: err}
 }
 
+// The ports of the processes lie below those that the system gives to outgoing
+// connections, so that nothing takes a port between its choice and its use.
+const (
+	firstPort = 18000
+	lastPort  = 32000
+)
+
+var nextPort = firstPort
+
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	for ; nextPort < lastPort; nextPort++ {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(nextPort))
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		must(t, listener.Close())
+		nextPort++
+		return address
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 func must(t *testing.T, err error) {
--- a/spread/renewer.go
+++ b/spread/renewer.go
@@ -26,7 +26,7 @@
 func NewRenewer(now time.Time, retention time.Duration, seed uint64) *Renewer {
 	r := &Renewer{
 		every:  retention / renewalsPerRetention,
-		random: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // Delays need no secret.
+		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 	r.due = now.Add(r.delay(r.every))
 	return r
--- a/spread/service.go
+++ b/spread/service.go
@@ -61,7 +61,7 @@
 func New(
 	members *member.Service, peers *wire.Peers, log Log, settings Settings, entry *logrus.Entry,
 ) *Service {
-	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed)) //nolint:gosec // Delays need no secret.
+	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed))
 	return &Service{
 		members: members,
 		peers:   peers,
