Free what a lost connection left at a broker, and probe before use

Cause: with a broker's process stopped for 20 s and resumed, all callers of one daemon waited 5 s and got not-run (TestPause, 6 of 15862 requests). The resumed broker granted asks that it read from dead connections; since the entry had a newer connection, nothing freed them before their deadline.

Ruled out: grant expiry (it worked, after deadline plus margin); the entry's heartbeat (it closed the connection after 0.4 s as meant).

Change: asks and grants belong to a connection. Asks end with it, grants 1 s later unless the entry claims them over a new one. Separately, a lost daemon is called again only after a heartbeat came back in the background, where before every redial cost some request 0.4 s.

--- a/broker/message.go
+++ b/broker/message.go
@@ -17,7 +17,8 @@
 // Ask requests a slot for one request. Budget is the time left until its
 // deadline; Avoid names upstreams that the entry cannot reach; Suspect marks
 // the retry of a request whose upstream was lost. The broker itself sets Limit,
-// the pool's part of the account's limit, 0 for none.
+// the pool's part of the account's limit, 0 for none, and Session, the
+// connection that the ask came over, 0 for the broker's own daemon.
 type Ask struct {
 	ID          GrantID
 	Route       string
@@ -30,6 +31,7 @@
 	Suspect     bool
 	Redirected  bool
 	Limit       int
+	Session     uint64
 }
 
 // Release ends a grant with what the entry saw. Latency is the time until the
@@ -45,12 +47,14 @@
 	Warming  bool
 }
 
-// Hold tells a new broker of a grant that another one gave.
+// Hold tells a broker of a grant that another one gave, or that it gave itself
+// over a connection that was lost. The broker itself sets Session.
 type Hold struct {
 	ID       GrantID
 	Upstream string
 	Class    model.Class
 	Budget   time.Duration
+	Session  uint64
 }
 
 // Hint tells a sibling pool's broker how busy this pool is.
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -34,6 +34,7 @@
 // grant is a slot in use.
 type grant struct {
 	id          GrantID
+	session     uint64
 	server      *server
 	route       string
 	class       model.Class
@@ -380,11 +381,16 @@
 // TakeHold counts a grant that an earlier broker gave.
 func (p *Pool) TakeHold(now time.Time, hold Hold) {
 	s, known := p.byName[hold.Upstream]
-	if _, counted := p.grants[hold.ID]; counted || !known {
+	if held, counted := p.grants[hold.ID]; counted {
+		held.session = hold.Session
+		return
+	}
+	if !known {
 		return
 	}
 	p.begin(&grant{
 		id:      hold.ID,
+		session: hold.Session,
 		server:  s,
 		class:   hold.Class,
 		expires: now.Add(hold.Budget + grantMargin),
@@ -418,18 +424,24 @@
 	return append(judged(verdicts), p.serve(now)...)
 }
 
-// EntryGone frees what an entry asked for and held.
-func (p *Pool) EntryGone(now time.Time, entry string) []Action {
+// SessionEnded forgets the asks that came over a connection that has ended.
+func (p *Pool) SessionEnded(now time.Time, session uint64) []Action {
 	for _, q := range p.queues {
-		q.ofEntry(entry)
+		q.ofSession(session)
 	}
 	for i := len(p.suspects) - 1; i >= 0; i-- {
-		if p.suspects[i].ask.ID.Entry == entry {
+		if p.suspects[i].ask.Session == session {
 			p.dropSuspect(i)
 		}
 	}
+	return p.serve(now)
+}
+
+// SessionGone frees the grants of an ended connection that were not claimed
+// over a newer one.
+func (p *Pool) SessionGone(now time.Time, session uint64) []Action {
 	for _, held := range p.grants {
-		if held.id.Entry == entry {
+		if held.session == session {
 			p.end(held)
 		}
 	}
--- a/broker/queue.go
+++ b/broker/queue.go
@@ -108,11 +108,11 @@
 	return ended
 }
 
-// ofEntry removes all asks of one entry.
-func (q *queue) ofEntry(entry string) {
+// ofSession removes all asks that came over one connection.
+func (q *queue) ofSession(session uint64) {
 	for account, line := range q.lines {
 		for i := len(line) - 1; i >= 0; i-- {
-			if line[i].ask.ID.Entry == entry {
+			if line[i].ask.Session == session {
 				line = append(line[:i], line[i+1:]...)
 				q.count--
 			}
--- a/broker/serve.go
+++ b/broker/serve.go
@@ -251,6 +251,7 @@
 func (p *Pool) grant(w *waiting, s *server, alone bool) Action {
 	p.begin(&grant{
 		id:          w.ask.ID,
+		session:     w.ask.Session,
 		server:      s,
 		route:       w.ask.Route,
 		class:       w.class,
--- a/grant/receiver.go
+++ b/grant/receiver.go
@@ -6,20 +6,24 @@
 
 	"github.com/go-faster/errors"
 
+	"dandeliondoor/broker"
 	"dandeliondoor/wire"
 )
 
-// entryGrace is how long a broker keeps the grants of an entry after the last
-// of its connections ended, for it may come back.
-const entryGrace = time.Second
+// claimPeriod is how long an entry may claim its grants over a new connection
+// after the old one ended.
+const claimPeriod = time.Second
 
-var errNoPool = errors.New("pool is not declared")
+var (
+	errNoPool       = errors.New("pool is not declared")
+	errSessionEnded = errors.New("connection ended")
+)
 
 // receiver serves the calls of one connection.
 type receiver struct {
 	service *Service
 	session *wire.Session
-	named   sync.Once
+	watched sync.Once
 }
 
 // Receivers serves the calls of entries and of sibling brokers.
@@ -29,12 +33,18 @@
 
 // Ask waits for the decision on an ask.
 func (r *receiver) Ask(request AskRequest, reply *AskReply) error {
-	r.named.Do(func() { r.service.entryCame(request.Ask.ID.Entry, r.session) })
+	r.watched.Do(func() { r.service.watch(r.session) })
+	request.Ask.Session = r.session.ID
 	decided, err := r.service.ask(time.Now(), request)
 	if err != nil {
 		return err
 	}
-	*reply = <-decided
+	select {
+	case *reply = <-decided:
+	case <-r.session.Ended():
+		r.service.cancel(time.Now(), CancelRequest{Pool: request.Pool, ID: request.Ask.ID})
+		return errSessionEnded
+	}
 	if reply.OutVersion == request.OutVersion {
 		reply.Out = nil
 	}
@@ -86,34 +96,23 @@
 	}
 }
 
-// entryCame counts the connections of an entry, and frees what it holds some
-// time after the last one ended.
-func (s *Service) entryCame(entry string, session *wire.Session) {
-	s.mutex.Lock()
-	s.entries[entry]++
-	s.mutex.Unlock()
+// watch frees what came over a connection once that ends: asks at once, and
+// grants some time later, unless the entry claims them over a new connection.
+func (s *Service) watch(session *wire.Session) {
 	session.OnEnd(func() {
-		s.mutex.Lock()
-		s.entries[entry]--
-		gone := s.entries[entry] == 0
-		s.mutex.Unlock()
-		if gone {
-			time.AfterFunc(entryGrace, func() { s.entryGone(entry) })
+		for _, r := range s.allRunners() {
+			r.do(func(pool *broker.Pool) []broker.Action {
+				return pool.SessionEnded(time.Now(), session.ID)
+			})
 		}
+		time.AfterFunc(claimPeriod, func() { s.free(session.ID) })
 	})
 }
 
-func (s *Service) entryGone(entry string) {
-	s.mutex.Lock()
-	back := s.entries[entry] > 0
-	if !back {
-		delete(s.entries, entry)
-	}
-	s.mutex.Unlock()
-	if back {
-		return
-	}
+func (s *Service) free(session uint64) {
 	for _, r := range s.allRunners() {
-		r.entryGone(time.Now(), entry)
+		r.do(func(pool *broker.Pool) []broker.Action {
+			return pool.SessionGone(time.Now(), session)
+		})
 	}
 }
--- a/grant/runner.go
+++ b/grant/runner.go
@@ -41,6 +41,7 @@
 	}
 	r.usedAt = now
 	for _, hold := range request.Holds {
+		hold.Session = request.Ask.Session
 		r.pool.TakeHold(now, hold)
 	}
 	r.waiting[request.Ask.ID] = decided
@@ -65,17 +66,6 @@
 	r.act(r.pool.Cancel(now, id))
 }
 
-func (r *runner) entryGone(now time.Time, entry string) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for id := range r.waiting {
-		if id.Entry == entry {
-			delete(r.waiting, id)
-		}
-	}
-	r.act(r.pool.EntryGone(now, entry))
-}
-
 func (r *runner) tick(now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/grant/service.go
+++ b/grant/service.go
@@ -45,7 +45,6 @@
 
 	mutex    sync.Mutex
 	runners  map[string]*runner
-	entries  map[string]int
 	draining bool
 	stale    chan struct{}
 	siblings chan siblingCall
@@ -75,7 +74,6 @@
 		metrics:  newMetrics(registry),
 		seed:     seed,
 		runners:  make(map[string]*runner),
-		entries:  make(map[string]int),
 		stale:    make(chan struct{}, 1),
 		siblings: make(chan siblingCall, maxSiblingCalls),
 	}
--- a/member/service.go
+++ b/member/service.go
@@ -199,7 +199,7 @@
 		if daemon.Name == s.self.Name || s.hasLeft(now, daemon.Name) {
 			continue
 		}
-		if s.peers.Usable(now, daemon.Address) {
+		if s.peers.Usable(daemon.Address) {
 			usable = append(usable, daemon)
 		}
 	}
--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -401,10 +401,15 @@
 	lastPort  = 32000
 )
 
-var nextPort = firstPort
+var (
+	portMutex sync.Mutex
+	nextPort  = firstPort
+)
 
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
+	portMutex.Lock()
+	defer portMutex.Unlock()
 	for ; nextPort < lastPort; nextPort++ {
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(nextPort))
 		listener, err := net.Listen("tcp", address.String())
--- a/wire/peers.go
+++ b/wire/peers.go
@@ -24,8 +24,8 @@
 )
 
 var (
-	errBusy    = errors.New("too many calls wait")
-	errBackoff = errors.New("waiting to dial again")
+	errBusy = errors.New("too many calls wait")
+	errLost = errors.New("connection is lost")
 )
 
 // Peers keeps one connection to each daemon that is called.
@@ -83,19 +83,22 @@
 	return true
 }
 
-// Usable reports whether the last attempt to reach a daemon worked or is long
-// enough ago to try again.
-func (p *Peers) Usable(now time.Time, address netip.AddrPort) bool {
+// Usable reports whether a daemon can be called: nothing is known against it, or
+// a heartbeat came back since its connection was lost.
+func (p *Peers) Usable(address netip.AddrPort) bool {
 	p.mutex.Lock()
 	known, found := p.peers[address]
 	p.mutex.Unlock()
-	return !found || known.usable(now)
+	return !found || known.usable()
 }
 
-// Run sends heartbeats until the context ends and then closes all connections.
+// Run sends heartbeats and tries lost daemons again until the context ends, and
+// then closes all connections.
 func (p *Peers) Run(ctx context.Context) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	var probes sync.WaitGroup
+	defer probes.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -104,6 +107,9 @@
 		case now := <-ticker.C:
 			for _, known := range p.all() {
 				known.beat(now)
+				if known.beginProbe(now) {
+					probes.Go(func() { known.probe(ctx, p.meter) })
+				}
 			}
 		}
 	}
@@ -136,7 +142,9 @@
 	}
 }
 
-// peer is the connection to one daemon.
+// peer is the connection to one daemon. Once lost, the daemon is not called
+// again until a heartbeat has come back from it, so that calls do not wait on a
+// path that may be dead.
 type peer struct {
 	address netip.AddrPort
 	pending atomic.Int64
@@ -148,12 +156,13 @@
 	usedAt   time.Time
 	beatAt   time.Time
 	beatCall *rpc.Call
+	lost     bool
+	probing  bool
 	failedAt time.Time
 	redial   time.Duration
 }
 
-// connect returns the open connection or dials, one caller at a time and not
-// before the wait after a failure is over.
+// connect returns the open connection, or dials, one caller at a time.
 func (p *peer) connect(ctx context.Context, meter *Meter) (*rpc.Client, error) {
 	if client := p.open(); client != nil {
 		return client, nil
@@ -163,24 +172,75 @@
 	if client := p.open(); client != nil {
 		return client, nil
 	}
-	if !p.usable(time.Now()) {
-		return nil, errBackoff
+	if !p.usable() {
+		return nil, errLost
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", p.address.String())
+	client, err := p.dial(ctx, meter)
 	if err != nil {
 		if ctx.Err() == nil {
 			p.fail(nil)
 		}
 		return nil, err
 	}
-	client := rpc.NewClient(meteredConn{Conn: conn, meter: meter})
+	p.use(client)
+	return client, nil
+}
+
+func (p *peer) dial(ctx context.Context, meter *Meter) (*rpc.Client, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.address.String())
+	if err != nil {
+		return nil, err
+	}
+	return rpc.NewClient(meteredConn{Conn: conn, meter: meter}), nil
+}
+
+func (p *peer) use(client *rpc.Client) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.client = client
 	p.usedAt = time.Now()
 	p.beatCall = nil
-	return client, nil
+	p.lost = false
+}
+
+// beginProbe reports whether a lost daemon is to be tried now.
+func (p *peer) beginProbe(now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.lost || p.probing || now.Sub(p.failedAt) < p.redial {
+		return false
+	}
+	p.probing = true
+	return true
+}
+
+// probe dials a lost daemon and uses it again once a heartbeat came back.
+func (p *peer) probe(ctx context.Context, meter *Meter) {
+	defer func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.probing = false
+	}()
+	client, err := p.dial(ctx, meter)
+	if err != nil {
+		p.fail(nil)
+		return
+	}
+	beat := client.Go(pingMethod, Heartbeat{}, &Heartbeat{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(heartbeatTimeout)
+	defer timer.Stop()
+	select {
+	case <-beat.Done:
+		if beat.Error == nil && ctx.Err() == nil {
+			p.use(client)
+			return
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	_ = client.Close()
+	p.fail(nil)
 }
 
 func (p *peer) open() *rpc.Client {
@@ -192,10 +252,10 @@
 	return p.client
 }
 
-func (p *peer) usable(now time.Time) bool {
+func (p *peer) usable() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.client != nil || now.Sub(p.failedAt) >= p.redial
+	return !p.lost
 }
 
 // judge tells a refusal by the other daemon from the failure of the path.
@@ -230,6 +290,7 @@
 		p.client = nil
 	}
 	p.beatCall = nil
+	p.lost = true
 	p.failedAt = time.Now()
 	p.redial = min(max(2*p.redial, firstRedial), maxRedial)
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 )
@@ -15,29 +16,69 @@
 	Methods any
 }
 
-// Session is one connection of another daemon.
+// Session is one connection of another daemon; its ID is unique in this process
+// and never 0.
 type Session struct {
+	ID uint64
+
 	mutex sync.Mutex
 	ends  []func()
+	ended chan struct{}
+	over  bool
+}
+
+var lastSession atomic.Uint64
+
+func newSession() *Session {
+	return &Session{ID: lastSession.Add(1), ended: make(chan struct{})}
 }
 
+// Ended returns a channel that is closed once the other daemon is gone.
+func (s *Session) Ended() <-chan struct{} { return s.ended }
+
 // OnEnd registers a call for the end of the connection.
 func (s *Session) OnEnd(end func()) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.ends = append(s.ends, end)
+	if !s.over {
+		s.ends = append(s.ends, end)
+		s.mutex.Unlock()
+		return
+	}
+	s.mutex.Unlock()
+	end()
 }
 
 func (s *Session) end() {
 	s.mutex.Lock()
+	if s.over {
+		s.mutex.Unlock()
+		return
+	}
+	s.over = true
+	close(s.ended)
 	ends := s.ends
-	s.ends = nil
 	s.mutex.Unlock()
 	for _, end := range ends {
 		end()
 	}
 }
 
+// sessionConn ends its session with the first failed read, for net/rpc itself
+// returns only once each call that runs has returned.
+type sessionConn struct {
+	net.Conn
+	session *Session
+}
+
+// Read reads from the connection.
+func (c sessionConn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	if err != nil {
+		c.session.end()
+	}
+	return count, err
+}
+
 // Factory returns the receivers of a new session.
 type Factory func(session *Session) []Receiver
 
@@ -79,7 +120,7 @@
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	session := &Session{}
+	session := newSession()
 	defer session.end()
 	server := rpc.NewServer()
 	if err := server.RegisterName(pingReceiver, &pinger{}); err != nil {
@@ -92,7 +133,7 @@
 			}
 		}
 	}
-	server.ServeConn(meteredConn{Conn: conn, meter: s.meter})
+	server.ServeConn(sessionConn{Conn: meteredConn{Conn: conn, meter: s.meter}, session: session})
 }
 
 // The heartbeat call.
