--- a/stand/log.go
+++ b/stand/log.go
@@ -21,11 +21,13 @@
 
 // LogFaults are the faults of the log service. Refuse answers 503; DropAnswers
 // lets appends take effect and breaks the connection instead of answering;
+// RefuseReadsAfterAppend begins to refuse once an append has taken effect;
 // Delay comes before each answer.
 type LogFaults struct {
-	Refuse      bool          `json:"refuse,optional"`
-	DropAnswers bool          `json:"drop_answers,optional"`
-	Delay       time.Duration `json:"delay,optional"`
+	Refuse                 bool          `json:"refuse,optional"`
+	DropAnswers            bool          `json:"drop_answers,optional"`
+	RefuseReadsAfterAppend bool          `json:"refuse_reads_after_append,optional"`
+	Delay                  time.Duration `json:"delay,optional"`
 }
 
 // Log stands in for the platform's append-only log.
@@ -120,7 +122,12 @@
 		return
 	}
 	offset := l.Append(data)
-	if l.Faults.Get().DropAnswers {
+	faults := l.Faults.Get()
+	if faults.RefuseReadsAfterAppend {
+		faults.Refuse = true
+		l.Faults.Set(faults)
+	}
+	if faults.DropAnswers {
 		panic(http.ErrAbortHandler)
 	}
 	answer := httpd.JSON(func(context.Context, struct{}) (plat.Appended, error) {
