--- a/broker/model_test.go
+++ b/broker/model_test.go
@@ -154,7 +154,9 @@
 	for _, j := range jobs {
 		s.add(j.arrived, func(now time.Duration) { c.arrive(s, now, j) })
 	}
-	if ticker, ticks := c.(interface{ tick(*simulation, time.Duration) }); ticks {
+	if ticker, ticks := c.(interface {
+		tick(*simulation, time.Duration)
+	}); ticks {
 		for at := time.Duration(0); at < length; at += 20 * time.Millisecond {
 			s.add(at, func(now time.Duration) { ticker.tick(s, now) })
 		}
--- a/broker/serve.go
+++ b/broker/serve.go
@@ -180,6 +180,7 @@
 	coldPenalty    = 4
 	notKeptPenalty = 0.3
 	loadWeight     = 0.5
+	sickWeight     = 2
 	longWeight     = 0.5
 	tieWeight      = 0.01
 )
@@ -189,6 +190,7 @@
 	if p.tracker.State(s.name) == health.Cold {
 		score += coldPenalty
 	}
+	score += sickWeight * p.tracker.Sickness(s.name)
 	if !p.keeps(w.ask.ID.Entry, s) {
 		score += notKeptPenalty
 	}
--- a/health/baseline.go
+++ b/health/baseline.go
@@ -12,14 +12,14 @@
 	medianFastStep   = 0.2
 	minBaseline      = 20
 	fastWeight       = 1.0 / 16
-	failureWeight    = 1.0 / 64
+	failureWeight    = 1.0 / 16
 	sigmaWeight      = 1.0 / 512
 	initialSigma     = 0.6
 	minSigma         = 0.3
 	maxSigma         = 1.5
 	maxDeviation     = 3
 	minFailureRate   = 0.01
-	maxFailureRate   = 0.4
+	maxFailureRate   = 0.55
 	maxRoutes        = 512
 	overflowRouteKey = ""
 )
--- a/health/cusum.go
+++ b/health/cusum.go
@@ -1,15 +1,28 @@
 package health
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // alarmThreshold is the sum of log-likelihood ratios at which evidence against
 // an upstream suffices.
 const alarmThreshold = 26
 
+// slowThreshold is alarmThreshold for slowness, above what two pauses of a
+// healthy upstream in a row can add.
+const slowThreshold = 30
+
 // minOtherShare is the share of the evidence that has to come from reporters
 // other than the loudest one.
 const minOtherShare = 0.25
 
+// The bound on the evidence of slowness that one slice of time adds.
+const (
+	evidenceSlice = 200 * time.Millisecond
+	maxPerSlice   = 6
+)
+
 // maxReporters bounds the reporters remembered per sum.
 const maxReporters = 16
 
@@ -18,6 +31,8 @@
 type cusum struct {
 	sum       float64
 	reporters []contribution
+	slice     time.Time
+	inSlice   float64
 }
 
 type contribution struct {
@@ -37,6 +52,19 @@
 	}
 }
 
+// addWithin adds a ratio, bounded by what one slice of time may add: answers that
+// a single pause delays are one event and no independent evidence.
+func (c *cusum) addWithin(now time.Time, ratio float64, reporter string) {
+	if now.Sub(c.slice) >= evidenceSlice {
+		c.slice, c.inSlice = now, 0
+	}
+	if ratio > 0 {
+		ratio = math.Min(ratio, maxPerSlice-c.inSlice)
+		c.inSlice += ratio
+	}
+	c.add(ratio, reporter)
+}
+
 func (c *cusum) reset() {
 	c.sum = 0
 	c.reporters = c.reporters[:0]
@@ -54,10 +82,6 @@
 	}
 }
 
-func (c *cusum) alarmed() bool {
-	return c.sum >= alarmThreshold
-}
-
 // loudest returns the reporter with the largest part and whether the others
 // together added enough to stand without it.
 func (c *cusum) loudest() (string, bool) {
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -11,13 +11,16 @@
 	maxBackoff         = time.Minute
 	backoffForgetAfter = 10 * time.Minute
 	coldPeriod         = 10 * time.Second
-	minSlowPeriod      = 400 * time.Millisecond
 	crashBackoff       = 500 * time.Millisecond
 	trialSamples       = 5
 	crashReports       = 2
 	soleReporterPeriod = 5 * time.Second
 	sickRise           = 0.15
+	sickRiseFactor     = 0.6
 	broadSickRate      = 0.9
+	sharedFactor       = 1.5
+	sharedMargin       = 0.1
+	mostFail           = 0.5
 	pathCutPeriod      = time.Second
 )
 
@@ -99,6 +102,16 @@
 	return Out
 }
 
+// Sickness returns the evidence against an upstream, from 0 for none to 1 for
+// enough.
+func (t *Tracker) Sickness(name string) float64 {
+	found, known := t.byName[name]
+	if !known {
+		return 0
+	}
+	return math.Min(found.sickness()/alarmThreshold, 1)
+}
+
 // TrialWaiting reports since when an upstream waits for a trial request.
 func (t *Tracker) TrialWaiting(name string) (time.Time, bool) {
 	found, known := t.byName[name]
@@ -219,7 +232,7 @@
 
 func (t *Tracker) addFailure(u *upstream, failed bool, reporter string) {
 	base := t.peerFailureRate(u)
-	u.rare.add(failureRatio(failed, base, base+sickRise), reporter)
+	u.rare.add(failureRatio(failed, base, base+math.Max(sickRise, sickRiseFactor*base)), reporter)
 	u.broad.add(failureRatio(failed, base, broadSickRate), reporter)
 	value := 0.0
 	if failed {
@@ -230,18 +243,21 @@
 
 func (t *Tracker) addSlowness(now time.Time, u *upstream, deviation float64, reporter string) {
 	relative := deviation - math.Max(0, t.peerDeviation(u))
-	if u.slow.sum == 0 {
-		u.slowSince = now
+	if u.slow.sum < alarmThreshold/2 {
 		t.baselines.learnSigma(relative)
 	}
-	u.slow.add(slowRatio(relative, t.baselines.sigma), reporter)
+	u.slow.addWithin(now, slowRatio(relative, t.baselines.sigma), reporter)
 	u.deviation += fastWeight * (deviation - u.deviation)
 }
 
-// peerFailureRate returns the median failure rate of the other upstreams.
+// peerFailureRate returns the median failure rate of the other upstreams, within
+// the bounds that the tests can work with.
 func (t *Tracker) peerFailureRate(u *upstream) float64 {
-	rate := t.peerMedian(u, func(peer *upstream) float64 { return peer.failureRate })
-	return math.Max(minFailureRate, math.Min(maxFailureRate, rate))
+	return math.Max(minFailureRate, math.Min(maxFailureRate, t.rawPeerFailureRate(u)))
+}
+
+func (t *Tracker) rawPeerFailureRate(u *upstream) float64 {
+	return t.peerMedian(u, func(peer *upstream) float64 { return peer.failureRate })
 }
 
 // peerDeviation returns the median shift of the other upstreams' latency.
@@ -263,17 +279,19 @@
 // judge ejects an upstream against which the evidence suffices.
 func (t *Tracker) judge(now time.Time, u *upstream) []Verdict {
 	for _, test := range []struct {
-		cause Cause
-		sum   *cusum
+		cause     Cause
+		sum       *cusum
+		threshold float64
 	}{
-		{cause: CauseFailures, sum: &u.broad},
-		{cause: CauseFailures, sum: &u.rare},
-		{cause: CauseSlow, sum: &u.slow},
+		{cause: CauseFailures, sum: &u.broad, threshold: alarmThreshold},
+		{cause: CauseFailures, sum: &u.rare, threshold: alarmThreshold},
+		{cause: CauseSlow, sum: &u.slow, threshold: slowThreshold},
 	} {
-		if !test.sum.alarmed() {
+		if test.sum.sum < test.threshold {
 			continue
 		}
-		if test.cause == CauseSlow && now.Sub(u.slowSince) < minSlowPeriod {
+		if test.cause == CauseFailures && t.peersFailToo(u) {
+			test.sum.reset()
 			continue
 		}
 		reporter, shared := test.sum.loudest()
@@ -285,6 +303,14 @@
 	return nil
 }
 
+// peersFailToo reports whether the recent failures of an upstream are no worse
+// than what its peers have, for the rate that the tests started from may be
+// older than a trouble that all share.
+func (t *Tracker) peersFailToo(u *upstream) bool {
+	rate := t.rawPeerFailureRate(u)
+	return rate > mostFail || u.failureRate < sharedFactor*rate+sharedMargin
+}
+
 func (t *Tracker) eject(now time.Time, u *upstream, cause Cause) []Verdict {
 	capacity := t.Capacity()
 	if u.counts() {
@@ -317,6 +343,9 @@
 }
 
 func (t *Tracker) observeTrial(now time.Time, u *upstream, failed bool, deviation float64) []Verdict {
+	if failed && t.peerFailureRate(u) > sharedMargin {
+		return nil
+	}
 	if failed {
 		return []Verdict{t.putOut(now, u, CauseTrial)}
 	}
--- a/health/upstream.go
+++ b/health/upstream.go
@@ -41,7 +41,6 @@
 	rare        cusum
 	broad       cusum
 	slow        cusum
-	slowSince   time.Time
 
 	unreachable     int
 	lastSuccess     time.Time
