Show both deployments under failure with one command; meet false ejections

Cause: the README's first command did not exist.

A first demo run did not end: servers of upstreams outlived the fleet; fixed.

--- a/cmds/democmd.go
+++ b/cmds/democmd.go
@@ -1,7 +1,9 @@
 package cmds
 
 import (
-	"github.com/go-faster/errors"
+	"context"
+
+	"dandeliondoor/demo"
 )
 
 const demoHelp = `Run both example deployments at small size in one process, with stand-ins for
@@ -19,5 +21,5 @@
 
 // Execute runs the command.
 func (c *demoCommand) Execute([]string) error {
-	return errors.New("not built yet")
+	return demo.Run(context.Background(), c.program.stdout)
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -31,17 +31,20 @@
 	readyPoll   = 10 * time.Millisecond
 )
 
-// Options say what fleet to start.
+// Options say what fleet to start. With LogLinks each daemon reaches the log
+// over a path of its own that can be cut.
 type Options struct {
-	Daemons int
-	Logger  *logs.Logger
-	Zones   []string
+	Daemons  int
+	LogLinks bool
+	Logger   *logs.Logger
+	Zones    []string
 }
 
 // Daemon is one daemon of the fleet.
 type Daemon struct {
 	*daemon.Daemon
 
+	LogLink  *stand.Link
 	Settings config.Settings
 	cancel   context.CancelFunc
 	stopped  bool
@@ -66,7 +69,7 @@
 	logAddress netip.AddrPort
 	vmsAddress netip.AddrPort
 	list       []plat.VM
-	cancel     context.CancelFunc
+	cancels    []context.CancelFunc
 	ends       []<-chan error
 }
 
@@ -77,8 +80,7 @@
 		options.Logger = logs.Discard()
 	}
 	options.Logger.TakeLibraryLogs()
-	ctx, cancel := context.WithCancel(ctx)
-	f := &Fleet{Log: stand.NewLog(), VMs: stand.NewVMs(nil), options: options, cancel: cancel}
+	f := &Fleet{Log: stand.NewLog(), VMs: stand.NewVMs(nil), options: options}
 	if err := f.startPlatform(ctx); err != nil {
 		return nil, errors.Join(err, f.Stop())
 	}
@@ -118,10 +120,17 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	f.ends = append(f.ends, kernel.Run(ctx, httpd.NewServer(listener, handler).Serve))
+	f.run(ctx, httpd.NewServer(listener, handler).Serve)
 	return address, nil
 }
 
+// run runs a server that Stop ends.
+func (f *Fleet) run(ctx context.Context, work func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.cancels = append(f.cancels, cancel)
+	f.ends = append(f.ends, kernel.Run(ctx, work))
+}
+
 func listenFree() (net.Listener, netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -137,6 +146,10 @@
 	if err != nil {
 		return err
 	}
+	link, err := f.linkToLog(ctx, &settings)
+	if err != nil {
+		return err
+	}
 	d, err := daemon.New(settings, f.options.Logger, daemon.WithListeners(open))
 	if err != nil {
 		return err
@@ -147,10 +160,26 @@
 		cancel()
 		return err
 	}
-	f.Daemons = append(f.Daemons, &Daemon{Daemon: d, Settings: settings, cancel: cancel})
+	f.Daemons = append(f.Daemons, &Daemon{Daemon: d, LogLink: link, Settings: settings, cancel: cancel})
 	return nil
 }
 
+// linkToLog puts a path that can be cut between a daemon and the log, when the
+// fleet has such paths.
+func (f *Fleet) linkToLog(ctx context.Context, settings *config.Settings) (*stand.Link, error) {
+	if !f.options.LogLinks {
+		return nil, nil
+	}
+	listener, address, err := listenFree()
+	if err != nil {
+		return nil, err
+	}
+	link := stand.NewLink(f.logAddress)
+	settings.Platform.Log = address
+	f.run(ctx, func(ctx context.Context) error { return link.Serve(ctx, listener) })
+	return link, nil
+}
+
 // settings returns the settings of a daemon on ports that are open already.
 func (f *Fleet) settings(name, zone string) (config.Settings, daemon.Listeners, error) {
 	settings := config.Defaults()
@@ -201,7 +230,7 @@
 		VM:       plat.VM{Name: name, Address: address, Zone: zone, Role: plat.RoleUpstream, State: plat.VMLive},
 		Slots:    slots,
 	}
-	f.ends = append(f.ends, kernel.Run(ctx, httpd.NewServer(tracked, u.Handler()).Serve))
+	f.run(ctx, httpd.NewServer(tracked, u.Handler()).Serve)
 	f.Upstreams = append(f.Upstreams, u)
 	f.setVM(u.VM)
 	return u, nil
@@ -296,7 +325,9 @@
 			failures = append(failures, f.KillDaemon(d))
 		}
 	}
-	f.cancel()
+	for _, cancel := range f.cancels {
+		cancel()
+	}
 	for _, end := range f.ends {
 		failures = append(failures, <-end)
 	}
--- /dev/null
+++ b/demo/time_bench_test.go
@@ -0,0 +1,15 @@
+package demo_test
+
+import (
+	"syscall"
+	"time"
+)
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/health/cusum.go
+++ b/health/cusum.go
@@ -9,10 +9,18 @@
 // an upstream suffices.
 const alarmThreshold = 26
 
+// maxSum bounds the evidence, so that a long sickness is forgotten as fast as a
+// short one.
+const maxSum = 2 * alarmThreshold
+
 // slowThreshold is alarmThreshold for slowness, above what two pauses of a
 // healthy upstream in a row can add.
 const slowThreshold = 30
 
+// broadThreshold is alarmThreshold for an upstream that fails nearly all, above
+// what two short bursts of failures in a row can add.
+const broadThreshold = 34
+
 // minOtherShare is the share of the evidence that has to come from reporters
 // other than the loudest one.
 const minOtherShare = 0.25
@@ -42,7 +50,7 @@
 
 // add adds a ratio and forgets all contributions when the sum is back at zero.
 func (c *cusum) add(ratio float64, reporter string) {
-	c.sum = math.Min(c.sum+ratio, 2*alarmThreshold)
+	c.sum = math.Min(c.sum+ratio, maxSum)
 	if c.sum <= 0 {
 		c.reset()
 		return
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -283,7 +283,7 @@
 		sum       *cusum
 		threshold float64
 	}{
-		{cause: CauseFailures, sum: &u.broad, threshold: alarmThreshold},
+		{cause: CauseFailures, sum: &u.broad, threshold: broadThreshold},
 		{cause: CauseFailures, sum: &u.rare, threshold: alarmThreshold},
 		{cause: CauseSlow, sum: &u.slow, threshold: slowThreshold},
 	} {
