--- a/cmds/servecmd.go
+++ b/cmds/servecmd.go
@@ -71,7 +71,7 @@
 
 // takeSignals returns the channel of the signals. It first takes them from
 // go-zero, which handles them on its own as soon as it is linked in: it would
-// end the process after some seconds, and write files.
+// stop its own parts early, and write dumps and profiles to files.
 func takeSignals(wanted ...os.Signal) <-chan os.Signal {
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2)
 	received := make(chan os.Signal, len(wanted))
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -25,10 +25,11 @@
 
 // The times of a small fleet.
 const (
-	vmsInterval = 100 * time.Millisecond
-	balancerLag = 200 * time.Millisecond
-	readyWait   = 10 * time.Second
-	readyPoll   = 10 * time.Millisecond
+	vmsInterval    = 100 * time.Millisecond
+	balancerLag    = 200 * time.Millisecond
+	readyWait      = 30 * time.Second
+	readyPoll      = 10 * time.Millisecond
+	publishTimeout = 10 * time.Second
 )
 
 // Options say what fleet to start. With LogLinks each daemon reaches the log
@@ -252,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	publisher := pubs.NewPublisher(plat.NewLog(f.logAddress, time.Second))
+	publisher := pubs.NewPublisher(plat.NewLog(f.logAddress, publishTimeout))
 	if result := publisher.Load(ctx); result != nil {
 		return errors.Errorf("cannot load the log: %+v", result)
 	}
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -156,7 +156,7 @@
 	err = r.breakThings(ctx, fleet)
 	stop()
 	for _, end := range traffic {
-		<-end
+		err = errors.Join(err, <-end)
 	}
 	r.audit(fleet)
 	return r, err
--- /dev/null
+++ b/firms/firms_test.go
@@ -0,0 +1,31 @@
+package firms_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"dandeliondoor/decl"
+	"dandeliondoor/firms"
+)
+
+func TestDeployments(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name       string
+		deployment *decl.Deployment
+	}{
+		{name: "cantabria", deployment: firms.Cantabria(firms.CantabriaSizes, firms.PrivateAddresses)},
+		{name: "fes", deployment: firms.Fes(firms.FesSizes, firms.PrivateAddresses)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var text bytes.Buffer
+			if err := test.deployment.Print(&text); err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t).Assert(t, test.name, text.Bytes())
+		})
+	}
+}
