--- a/cmds/publishcmd.go
+++ b/cmds/publishcmd.go
@@ -31,7 +31,7 @@
 
 type publishCommand struct {
 	program *program
-	Bases   map[string]uint64 `long:"base" key-value-delimiter:"=" description:"revision on which a change was made" value-name:"NAME=REVISION"`
+	Bases   map[string]uint64 `long:"base" key-value-delimiter:"=" description:"revision that a change is based on" value-name:"NAME=REVISION"`
 	DryRun  bool              `long:"dry-run" description:"show the difference and publish nothing"`
 	First   bool              `long:"first" description:"publish to a log that holds no document yet"`
 	Log     string            `long:"log" required:"yes" description:"address of the log service" value-name:"IP:PORT"`
