Release a lease to every broker that counts it; leave shedding upstreams alone

Cause: with all slots wanted and a broker paused and resumed, 5 of 4238 requests waited 5 s and got not-run (new TestTakeover, 1 of 2 runs). When the pool's broker changed back, leases were released to the new one only; the old one kept their slots, and asks that waited there waited for nothing. Behind it, 1 of 6 runs answered 503: with all upstreams of a pool paused after a shed, the last resort chose one of them again at once.

Ruled out: heartbeats and probes (the stuck asks waited at the daemon's own broker); the retry budget (5 and growing).

Change: a lease keeps all brokers that were told of it and is released to each; the last resort is not for upstreams that shed a moment ago. Kept connections are ranked once an ask. The accept loop and the stand-in commands stood twice.

--- a/broker/serve.go
+++ b/broker/serve.go
@@ -121,6 +121,16 @@
 	return slices.ContainsFunc(p.servers, func(s *server) bool { return p.usable(now, s) })
 }
 
+// anyBusy reports whether a healthy upstream takes no work only for a moment,
+// because it has shed or runs a suspect.
+func (p *Pool) anyBusy(now time.Time) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		state := p.tracker.State(s.name)
+		held := s.alone || s.reservedFor != nil || now.Before(s.shedUntil)
+		return held && !s.leaving() && (state == health.Healthy || state == health.Cold)
+	})
+}
+
 // anyPresent reports whether an upstream is there that is neither leaving nor
 // avoided.
 func (p *Pool) anyPresent(avoid []string) bool {
@@ -153,6 +163,7 @@
 	}
 	var best *server
 	bestScore := math.Inf(1)
+	kept := p.keptBy(w.ask.ID.Entry)
 	for _, s := range p.servers {
 		if !p.usable(now, s) || s.running >= p.capacityOf(now, s) || slices.Contains(w.ask.Avoid, s.name) {
 			continue
@@ -160,11 +171,11 @@
 		if w.class == model.ClassLong && !s.takesLong() && p.bounded() {
 			continue
 		}
-		if score := p.score(w, s); score < bestScore {
+		if score := p.score(w, s, kept); score < bestScore {
 			best, bestScore = s, score
 		}
 	}
-	if best == nil && !p.anyUsable(now) {
+	if best == nil && !p.anyUsable(now) && !p.anyBusy(now) {
 		return p.lastResort(w)
 	}
 	return best
@@ -185,13 +196,13 @@
 	tieWeight      = 0.01
 )
 
-func (p *Pool) score(w *waiting, s *server) float64 {
+func (p *Pool) score(w *waiting, s *server, kept keptServers) float64 {
 	score := float64(s.running)/float64(s.slots) + loadWeight*s.load
 	if p.tracker.State(s.name) == health.Cold {
 		score += coldPenalty
 	}
 	score += sickWeight * p.tracker.Sickness(s.name)
-	if !p.keeps(w.ask.ID.Entry, s) {
+	if !kept.contains(s.name) {
 		score += notKeptPenalty
 	}
 	if w.class == model.ClassLong {
@@ -200,22 +211,35 @@
 	return score + tieWeight*p.random.Float64()
 }
 
-// keeps reports whether an entry may keep connections to an upstream: all may
-// while the upstream's connections suffice, else those whose rank chose it.
-func (p *Pool) keeps(entry string, s *server) bool {
-	bound := int(connectionsShare * float64(s.connections))
-	if p.entries*s.slots <= bound {
-		return true
+// keptServers are the upstreams to which an entry may keep connections; a nil
+// list stands for all of them.
+type keptServers []string
+
+func (k keptServers) contains(name string) bool {
+	return k == nil || slices.Contains(k, name)
+}
+
+// keptBy returns what an entry may keep: all while the upstreams' connections
+// suffice for all entries, else those that its rank chose.
+func (p *Pool) keptBy(entry string) keptServers {
+	slots, connections := 0, math.MaxInt
+	for _, s := range p.servers {
+		slots = max(slots, s.slots)
+		connections = min(connections, s.connections)
 	}
-	count := max(1, bound*len(p.servers)/(p.entries*s.slots))
+	bound := int(connectionsShare * float64(connections))
+	if slots == 0 || p.entries*slots <= bound {
+		return nil
+	}
+	count := max(1, bound*len(p.servers)/(p.entries*slots))
 	if count >= len(p.servers) {
-		return true
+		return nil
 	}
 	names := make([]string, len(p.servers))
-	for i, candidate := range p.servers {
-		names[i] = candidate.name
+	for i, s := range p.servers {
+		names[i] = s.name
 	}
-	return slices.Contains(rank.Top(entry, names, count), s.name)
+	return rank.Top(entry, names, count)
 }
 
 // trialFor returns an upstream whose trial takes this ask.
@@ -264,7 +288,7 @@
 		alone:       alone,
 		trial:       p.tracker.State(s.name) == health.Trial,
 	})
-	return Granted{ID: w.ask.ID, Upstream: s.name, Keep: p.keeps(w.ask.ID.Entry, s)}
+	return Granted{ID: w.ask.ID, Upstream: s.name, Keep: p.keptBy(w.ask.ID.Entry).contains(s.name)}
 }
 
 // serveSuspects runs one suspect at a time on an upstream with nothing else in
--- a/cmds/standcmd.go
+++ b/cmds/standcmd.go
@@ -65,6 +65,19 @@
 	return httpd.NewServer(listener, handler).Serve, nil
 }
 
+// serveAlone serves one handler on an address until the process is told to stop.
+func (p *program) serveAlone(address string, create func() (http.Handler, error)) error {
+	handler, err := create()
+	if err != nil {
+		return err
+	}
+	serve, err := serveOn(address, handler)
+	if err != nil {
+		return err
+	}
+	return p.runUntilSignal(serve)
+}
+
 type standLogCommand struct {
 	program *program
 	Listen  string `long:"listen" required:"yes"`
@@ -74,15 +87,7 @@
 
 // Execute runs the command.
 func (c *standLogCommand) Execute([]string) error {
-	handler, err := stand.NewLog().Handler()
-	if err != nil {
-		return err
-	}
-	serve, err := serveOn(c.Listen, handler)
-	if err != nil {
-		return err
-	}
-	return c.program.runUntilSignal(serve)
+	return c.program.serveAlone(c.Listen, stand.NewLog().Handler)
 }
 
 type standVMsCommand struct {
@@ -103,15 +108,7 @@
 	if err := json.Unmarshal(data, &list); err != nil {
 		return errors.Wrap(err, "read list of VMs")
 	}
-	handler, err := stand.NewVMs(list.VMs).Handler()
-	if err != nil {
-		return err
-	}
-	serve, err := serveOn(c.Listen, handler)
-	if err != nil {
-		return err
-	}
-	return c.program.runUntilSignal(serve)
+	return c.program.serveAlone(c.Listen, stand.NewVMs(list.VMs).Handler)
 }
 
 type standUpstreamCommand struct {
--- a/grant/client.go
+++ b/grant/client.go
@@ -55,11 +55,12 @@
 	Brokered bool
 	Waited   time.Duration
 
-	id     broker.GrantID
-	pool   string
-	class  model.Class
-	broker member.Daemon
-	until  time.Time
+	id    broker.GrantID
+	pool  string
+	class model.Class
+	until time.Time
+	// brokers count the lease: who granted it, and who was told of it later.
+	brokers []member.Daemon
 }
 
 // poolView is what this entry knows of a pool by its broker's replies.
@@ -126,20 +127,25 @@
 	c.mutex.Lock()
 	delete(c.held, lease.id)
 	c.fallback.Ended(now, lease.Upstream.Name, seen.Load, seen.Draining)
-	holder := lease.broker
+	brokers := lease.brokers
 	c.mutex.Unlock()
 	seen.ID = lease.id
 	request := ReleaseRequest{Pool: lease.pool, Release: seen}
+	for _, daemon := range brokers {
+		c.sendRelease(ctx, daemon, request, heard)
+	}
+}
+
+func (c *Client) sendRelease(ctx context.Context, daemon member.Daemon, request ReleaseRequest, heard bool) {
 	switch {
-	case holder.Name == "":
-	case holder.Name == c.members.Self().Name:
-		c.local.release(now, request)
-	case heard:
+	case daemon.Name == c.members.Self().Name:
+		c.local.release(time.Now(), request)
+	case heard && c.peers.Usable(daemon.Address):
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		_, _ = wire.Call[ReleaseRequest, Empty](ctx, c.peers, holder.Address, releaseMethod, request)
+		_, _ = wire.Call[ReleaseRequest, Empty](ctx, c.peers, daemon.Address, releaseMethod, request)
 	default:
-		wire.Post[ReleaseRequest, Empty](c.peers, holder.Address, releaseMethod, request)
+		wire.Post[ReleaseRequest, Empty](c.peers, daemon.Address, releaseMethod, request)
 	}
 }
 
@@ -194,8 +200,8 @@
 				id:       granted.ID,
 				pool:     pool.Key,
 				class:    ask.Class,
-				broker:   asked,
 				until:    request.Deadline,
+				brokers:  []member.Daemon{asked},
 			}, nil
 		}
 	}
@@ -293,8 +299,9 @@
 }
 
 // holdsFor returns the leases of a pool that its broker does not know of: all
-// when the broker is another one than before or was lost in between. From then
-// on they are released to it.
+// when the broker is another one than before or was lost in between. They are
+// released to it too from then on, and still to those that counted them before,
+// which else would keep the slots of asks that wait there.
 func (c *Client) holdsFor(key string, daemon member.Daemon) []broker.Hold {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -308,7 +315,7 @@
 		if lease.pool != key {
 			continue
 		}
-		lease.broker = daemon
+		lease.brokers = append(slices.Clone(lease.brokers), daemon)
 		holds = append(holds, broker.Hold{
 			ID:       id,
 			Upstream: lease.Upstream.Name,
--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -351,12 +351,28 @@
 // runs returns what an upstream ran.
 func (f *fleet) runs(u *upstreamProcess) []stand.Run {
 	f.t.Helper()
-	var runs []stand.Run
-	response, err := http.Get("http://" + u.control.String() + "/v1/runs")
+	return control[[]stand.Run](f, u, "/v1/runs")
+}
+
+// sheds returns how many requests found no free slot on any upstream.
+func (f *fleet) sheds() int {
+	f.t.Helper()
+	total := 0
+	for _, u := range f.upstreams {
+		total += control[int](f, u, "/v1/sheds")
+	}
+	return total
+}
+
+// control reads a page of an upstream's control port.
+func control[Reply any](f *fleet, u *upstreamProcess, path string) Reply {
+	f.t.Helper()
+	var reply Reply
+	response, err := http.Get("http://" + u.control.String() + path)
 	must(f.t, err)
 	defer response.Body.Close()
-	must(f.t, json.NewDecoder(response.Body).Decode(&runs))
-	return runs
+	must(f.t, json.NewDecoder(response.Body).Decode(&reply))
+	return reply
 }
 
 // answer is what a caller received.
--- a/procs/stop_test.go
+++ b/procs/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -110,8 +111,8 @@
 	checkAnswers(t, all, nil)
 }
 
-// TestKill ends one daemon without warning: only callers that were connected to
-// it see that, and nothing runs twice.
+// TestKill ends one daemon without warning while the list of VMs is down: only
+// callers that were connected to it see that, and nothing runs twice.
 func TestKill(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 6, 6)
@@ -122,6 +123,7 @@
 	defer cancel()
 	b := newBalancer(ctx, f)
 	all := newLoad(f, b.pick).run(8, http.MethodPost, "/bales", func() {
+		f.faults(f.vms, `{"refuse":true}`)
 		time.Sleep(500 * time.Millisecond)
 		victim.signal(t, syscall.SIGKILL)
 		time.Sleep(2 * time.Second)
@@ -132,7 +134,7 @@
 		return s.through == victim.settings.Name && s.err != nil
 	})
 	f.checkRuns(all)
-	t.Logf("%d answered, %d callers of the killed daemon cut off", good, cut)
+	t.Logf("%d answered, %d callers of the killed daemon cut off, %d shed by upstreams", good, cut, f.sheds())
 }
 
 // TestPause stops a broker's process for 20 s and lets it resume: requests
@@ -164,7 +166,7 @@
 	for _, s := range all {
 		slowest = max(slowest, s.elapsed)
 	}
-	t.Logf("%d answered, slowest after %s", good, slowest.Round(time.Millisecond))
+	t.Logf("%d answered, slowest after %s, %d shed by upstreams", good, slowest.Round(time.Millisecond), f.sheds())
 }
 
 // TestStateOnSignal reads the dump that SIGUSR1 prints.
@@ -206,3 +208,28 @@
 		return pick()
 	}
 }
+
+// TestTakeover pauses a broker while all slots of its pool are wanted, so that
+// two brokers count them at once: all requests are answered, and what the
+// upstreams shed meanwhile is counted.
+func TestTakeover(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6, 6)
+	f.publishSouk(60)
+	f.call(f.daemons[0], http.MethodGet, "/lots", "")
+	victim := f.brokerOf("souk-catalogue/fes-medina/0")
+	others := slices.DeleteFunc(slices.Clone(f.daemons), func(d *daemonProcess) bool { return d == victim })
+	next := 0
+	pick := lockedPick(func() *daemonProcess { next++; return others[next%len(others)] })
+	before := 0
+	all := newLoad(f, pick).run(40, http.MethodGet, "/lots/sleep-20ms", func() {
+		time.Sleep(time.Second)
+		before = f.sheds()
+		victim.signal(t, syscall.SIGSTOP)
+		time.Sleep(3 * time.Second)
+		victim.signal(t, syscall.SIGCONT)
+		time.Sleep(2 * time.Second)
+	})
+	good := checkAnswers(t, all, nil)
+	t.Logf("%d answered, %d shed by upstreams before the pause, %d after", good, before, f.sheds()-before)
+}
--- a/stand/link.go
+++ b/stand/link.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"dandeliondoor/httpd"
+	"dandeliondoor/kernel"
 )
 
 // LinkFaults are the faults of a network path. Forward is the direction from
@@ -44,20 +45,7 @@
 
 // Serve passes connections on until the context ends.
 func (l *Link) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	var connections sync.WaitGroup
-	defer connections.Wait()
-	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "accept")
-		}
-		connections.Go(func() { l.pass(ctx, conn) })
-	}
+	return kernel.Accept(ctx, listener, l.pass)
 }
 
 func (l *Link) pass(ctx context.Context, near net.Conn) {
--- a/stand/upstream.go
+++ b/stand/upstream.go
@@ -60,6 +60,7 @@
 	served   int
 	runs     []Run
 	crashes  int
+	sheds    int
 }
 
 // NewUpstream returns an upstream whose requests take the service time unless
@@ -79,10 +80,20 @@
 	router.Handle(http.MethodGet, "/v1/runs", httpd.JSON(func(context.Context, struct{}) ([]Run, error) {
 		return u.Runs(), nil
 	}))
+	router.Handle(http.MethodGet, "/v1/sheds", httpd.JSON(func(context.Context, struct{}) (int, error) {
+		return u.Sheds(), nil
+	}))
 	u.Faults.route(router)
 	return router.Handler()
 }
 
+// Sheds returns how many requests found no free slot.
+func (u *Upstream) Sheds() int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.sheds
+}
+
 // Runs returns each request that ran, in order.
 func (u *Upstream) Runs() []Run {
 	u.mutex.Lock()
@@ -149,6 +160,7 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	if u.inFlight >= u.slots || faults.ShedAll {
+		u.sheds++
 		return false
 	}
 	u.inFlight++
--- a/wire/server.go
+++ b/wire/server.go
@@ -7,7 +7,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/go-faster/errors"
+	"dandeliondoor/kernel"
 )
 
 // Receiver is a named set of methods in the form that net/rpc asks for.
@@ -101,20 +101,7 @@
 // Serve accepts connections until the context ends, and returns once each
 // connection is closed.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	var connections sync.WaitGroup
-	defer connections.Wait()
-	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "accept daemon connection")
-		}
-		connections.Go(func() { s.serveConn(ctx, conn) })
-	}
+	return kernel.Accept(ctx, listener, s.serveConn)
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
