Split what had grown large: pool, tracker, broker client

Change: admission, release, sessions and the rule for long work; evidence, return and dump; lease, view and dump stand in files of their own. Ended connections wait in the broker's own tick.

--- a/broker/pool.go
+++ b/broker/pool.go
@@ -1,11 +1,7 @@
 package broker
 
 import (
-	"cmp"
-	"maps"
-	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"dandeliondoor/crash"
@@ -44,7 +40,6 @@
 	alone       bool
 	trial       bool
 	crashSeen   bool
-	foreign     bool
 }
 
 type siblingHint struct {
@@ -74,29 +69,6 @@
 	aloneRun bool
 }
 
-// LongRule is how long work is kept from taking all slots.
-type LongRule interface{ isLongRule() }
-
-// LongByDemand gives long work its part of all demand, and beyond that what the
-// demand of short work does not need.
-type LongByDemand struct{}
-
-// LongFixed gives long work a fixed share of the slots, from 0 to 1.
-type LongFixed struct{ Share float64 }
-
-// LongUnbounded treats long work like any other.
-type LongUnbounded struct{}
-
-var (
-	_ LongRule = LongByDemand{}
-	_ LongRule = LongFixed{}
-	_ LongRule = LongUnbounded{}
-)
-
-func (LongByDemand) isLongRule()  {}
-func (LongFixed) isLongRule()     {}
-func (LongUnbounded) isLongRule() {}
-
 // Option changes a pool at its construction.
 type Option func(*Pool)
 
@@ -176,229 +148,6 @@
 	return append(judged(verdicts), p.serve(now)...)
 }
 
-// Ask takes an ask and returns what is decided at once; an ask without an
-// action waits in the queue.
-func (p *Pool) Ask(now time.Time, ask Ask) []Action {
-	if _, known := p.grants[ask.ID]; known {
-		return nil
-	}
-	if ask.Limit > 0 {
-		p.limits[ask.Account] = ask.Limit
-	}
-	class := p.learner.classOf(ask.Route, ask.Class)
-	p.learner.arrived(now, class)
-	entered := &waiting{ask: ask, class: class, since: now, deadline: now.Add(ask.Budget)}
-	if ask.Suspect {
-		p.memory.Learn(now, ask.Fingerprint, crash.Suspect)
-	}
-	switch p.memory.Standing(now, ask.Fingerprint) {
-	case crash.Convicted:
-		return []Action{Refused{ID: ask.ID, Reason: ReasonPoisonous}}
-	case crash.Suspect:
-		p.suspects = append(p.suspects, entered)
-		return p.serve(now)
-	case crash.Clear:
-	}
-	if action, decided := p.admit(now, entered); decided {
-		return []Action{action}
-	}
-	p.queues[class].push(entered)
-	return p.serve(now)
-}
-
-// admit refuses or redirects an ask that should not enter the queue.
-func (p *Pool) admit(now time.Time, entered *waiting) (Action, bool) {
-	ask := entered.ask
-	if !p.anyUsable(now) || !p.anyPresent(ask.Avoid) {
-		if sibling, found := p.betterSibling(now, math.MaxInt64); found && !ask.Redirected {
-			return Redirected{ID: ask.ID, Pool: sibling}, true
-		}
-		if !p.anyPresent(ask.Avoid) {
-			return Refused{ID: ask.ID, Reason: ReasonNoUpstream, RetryAfter: minRetryAfter}, true
-		}
-	}
-	if limit := ask.Limit; limit > 0 && p.running[ask.Account]+len(p.queues[entered.class].lines[ask.Account]) >= 2*limit {
-		return Refused{ID: ask.ID, Reason: ReasonAccountLimit, RetryAfter: minRetryAfter}, true
-	}
-	wait := p.expectedWait(now, entered.class)
-	if wait > redirectMinWait && !ask.Redirected {
-		if sibling, found := p.betterSibling(now, wait); found {
-			return Redirected{ID: ask.ID, Pool: sibling}, true
-		}
-	}
-	if p.tooLate(entered, wait) {
-		return Refused{ID: ask.ID, Reason: ReasonOverload, RetryAfter: max(wait, minRetryAfter)}, true
-	}
-	return nil, false
-}
-
-// tooLate reports whether an ask could not finish before its deadline.
-func (p *Pool) tooLate(entered *waiting, wait time.Duration) bool {
-	if p.queues[0].count+p.queues[1].count >= maxQueued {
-		return true
-	}
-	if entered.class == model.ClassShort && wait > maxShortWait {
-		return true
-	}
-	return wait > 0 && wait+p.learner.mean(entered.class) > entered.ask.Budget
-}
-
-// expectedWait estimates how long an ask of a class waits for a slot.
-func (p *Pool) expectedWait(now time.Time, class model.Class) time.Duration {
-	slots, free := p.usableSlots(now)
-	if class == model.ClassLong {
-		limit := p.longLimit(now)
-		if p.longRun < limit && free > 0 && p.queues[0].count == 0 && p.queues[1].count == 0 {
-			return 0
-		}
-		return p.drainTime(p.queues[1].count+1, p.learner.mean(model.ClassLong), limit)
-	}
-	if free > p.queues[0].count {
-		return 0
-	}
-	return p.drainTime(p.queues[0].count+1, p.learner.mean(model.ClassShort), slots-p.longRun)
-}
-
-func (p *Pool) drainTime(count int, mean time.Duration, slots int) time.Duration {
-	return time.Duration(waitSafety * float64(count) * float64(mean) / float64(max(slots, 1)))
-}
-
-// Cancel ends an ask or a grant that the entry gave up.
-func (p *Pool) Cancel(now time.Time, id GrantID) []Action {
-	for _, q := range p.queues {
-		if q.remove(id) {
-			return nil
-		}
-	}
-	for i, candidate := range p.suspects {
-		if candidate.ask.ID == id {
-			p.dropSuspect(i)
-			return p.serve(now)
-		}
-	}
-	if held, known := p.grants[id]; known {
-		p.end(held)
-		return p.serve(now)
-	}
-	return nil
-}
-
-// Release ends a grant and takes its evidence.
-func (p *Pool) Release(now time.Time, release Release) []Action {
-	held, known := p.grants[release.ID]
-	if !known {
-		return nil
-	}
-	p.end(held)
-	excused := p.excused(held, release.Outcome)
-	actions := p.learnCrash(now, held, release.Outcome)
-	if release.Outcome == health.Success {
-		p.learner.finished(held.route, held.class, release.Duration)
-	}
-	p.noteServer(now, held.server, release)
-	verdicts := p.tracker.SetLeaving(held.server.name, held.server.leaving())
-	if release.Warming {
-		verdicts = append(verdicts, p.tracker.SetCold(now, held.server.name)...)
-	}
-	if !excused {
-		verdicts = append(verdicts, p.tracker.Observe(now, health.Sample{
-			Upstream: held.server.name,
-			Reporter: held.id.Entry,
-			Route:    held.route,
-			Outcome:  release.Outcome,
-			Duration: release.Latency,
-		})...)
-	}
-	actions = append(actions, judged(verdicts)...)
-	return append(actions, p.serve(now)...)
-}
-
-// excused reports whether a lost connection says nothing about the upstream:
-// the request ran alone as a suspect, or was in flight at a crash that another
-// request has reported.
-func (p *Pool) excused(held *grant, outcome health.Outcome) bool {
-	return outcome == health.Lost && (held.alone || held.crashSeen)
-}
-
-func (p *Pool) noteServer(now time.Time, s *server, release Release) {
-	if release.Load >= 0 {
-		s.load = release.Load
-	}
-	if release.Outcome == health.Success || release.Draining {
-		s.saysLeaving = release.Draining
-	}
-	if release.Outcome == health.Shed {
-		s.shedUntil = now.Add(shedPause)
-	}
-}
-
-// learnCrash turns everything in flight on a lost upstream into suspects, and
-// clears what succeeded.
-func (p *Pool) learnCrash(now time.Time, held *grant, outcome health.Outcome) []Action {
-	switch outcome {
-	case health.Success:
-		p.memory.Succeeded(held.fingerprint)
-		return nil
-	case health.Lost:
-	default:
-		return nil
-	}
-	if held.crashSeen {
-		return nil
-	}
-	held.crashSeen = held.fingerprint != 0
-	actions := p.suspect(now, held)
-	for _, other := range p.sortedGrants() {
-		if other.server == held.server && !other.crashSeen && other.fingerprint != 0 {
-			other.crashSeen = true
-			actions = append(actions, p.suspect(now, other)...)
-		}
-	}
-	return actions
-}
-
-// sortedGrants returns the grants in an order that does not depend on chance.
-func (p *Pool) sortedGrants() []*grant {
-	sorted := slices.Collect(maps.Values(p.grants))
-	slices.SortFunc(sorted, func(a, b *grant) int {
-		return cmp.Or(cmp.Compare(a.id.Entry, b.id.Entry), cmp.Compare(a.id.Seq, b.id.Seq))
-	})
-	return sorted
-}
-
-func (p *Pool) suspect(now time.Time, held *grant) []Action {
-	standing := p.memory.Crashed(now, held.fingerprint, held.alone)
-	if standing == crash.Clear {
-		return nil
-	}
-	return []Action{Shared{Fingerprint: held.fingerprint, Standing: standing}}
-}
-
-// LearnFingerprint takes the standing that a sibling pool found.
-func (p *Pool) LearnFingerprint(now time.Time, fingerprint crash.Fingerprint, standing crash.Standing) {
-	p.memory.Learn(now, fingerprint, standing)
-}
-
-// TakeHold counts a grant that an earlier broker gave.
-func (p *Pool) TakeHold(now time.Time, hold Hold) {
-	s, known := p.byName[hold.Upstream]
-	if held, counted := p.grants[hold.ID]; counted {
-		held.session = hold.Session
-		return
-	}
-	if !known {
-		return
-	}
-	p.begin(&grant{
-		id:      hold.ID,
-		session: hold.Session,
-		server:  s,
-		class:   hold.Class,
-		expires: now.Add(hold.Budget + grantMargin),
-		foreign: true,
-	})
-}
-
 // TakeHint takes what a sibling pool's broker says of its load.
 func (p *Pool) TakeHint(now time.Time, hint Hint) {
 	p.siblings[hint.Pool] = siblingHint{hint: hint, at: now}
@@ -425,30 +174,6 @@
 	return append(judged(verdicts), p.serve(now)...)
 }
 
-// SessionEnded forgets the asks that came over a connection that has ended.
-func (p *Pool) SessionEnded(now time.Time, session uint64) []Action {
-	for _, q := range p.queues {
-		q.ofSession(session)
-	}
-	for i := len(p.suspects) - 1; i >= 0; i-- {
-		if p.suspects[i].ask.Session == session {
-			p.dropSuspect(i)
-		}
-	}
-	return p.serve(now)
-}
-
-// SessionGone frees the grants of an ended connection that were not claimed
-// over a newer one.
-func (p *Pool) SessionGone(now time.Time, session uint64) []Action {
-	for _, held := range p.grants {
-		if held.session == session {
-			p.end(held)
-		}
-	}
-	return p.serve(now)
-}
-
 // Tick ends what has expired and serves the queue.
 func (p *Pool) Tick(now time.Time) []Action {
 	p.tracker.Tick(now)
--- a/grant/client.go
+++ b/grant/client.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"dandeliondoor/broker"
-	"dandeliondoor/crash"
 	"dandeliondoor/member"
 	"dandeliondoor/model"
 	"dandeliondoor/rank"
@@ -27,50 +26,6 @@
 
 var errNoBroker = errors.New("no broker answered")
 
-// RefusedError reports a request for which there is no slot.
-type RefusedError struct {
-	Reason     broker.Reason
-	RetryAfter time.Duration
-}
-
-// Error names the reason.
-func (e *RefusedError) Error() string { return "refused: " + string(e.Reason) }
-
-// Request is what an entry wants a slot for.
-type Request struct {
-	Service     *route.Service
-	Route       model.Route
-	Account     string
-	Deadline    time.Time
-	Repeatable  bool
-	Avoid       []string
-	Fingerprint crash.Fingerprint
-	Suspect     bool
-}
-
-// Lease is the right to send one request to one upstream.
-type Lease struct {
-	Upstream model.Upstream
-	Keep     bool
-	Brokered bool
-	Waited   time.Duration
-
-	id    broker.GrantID
-	pool  string
-	class model.Class
-	until time.Time
-	// brokers count the lease: who granted it, and who was told of it later.
-	brokers []member.Daemon
-}
-
-// poolView is what this entry knows of a pool by its broker's replies.
-type poolView struct {
-	broker     string
-	synced     bool
-	out        []string
-	outVersion uint64
-}
-
 // Client asks brokers for slots and falls back to this entry's own choice.
 type Client struct {
 	members *member.Service
@@ -298,63 +253,6 @@
 	wire.Post[CancelRequest, Empty](c.peers, daemon.Address, cancelMethod, request)
 }
 
-// holdsFor returns the leases of a pool that its broker does not know of: all
-// when the broker is another one than before or was lost in between. They are
-// released to it too from then on, and still to those that counted them before,
-// which else would keep the slots of asks that wait there.
-func (c *Client) holdsFor(key string, daemon member.Daemon) []broker.Hold {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	view := c.view(key)
-	if view.broker == daemon.Name && view.synced {
-		return nil
-	}
-	view.broker, view.synced, view.outVersion = daemon.Name, true, 0
-	var holds []broker.Hold
-	for id, lease := range c.held {
-		if lease.pool != key {
-			continue
-		}
-		lease.brokers = append(slices.Clone(lease.brokers), daemon)
-		holds = append(holds, broker.Hold{
-			ID:       id,
-			Upstream: lease.Upstream.Name,
-			Class:    lease.class,
-			Budget:   time.Until(lease.until),
-		})
-	}
-	return holds
-}
-
-func (c *Client) unsync(key string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.view(key).synced = false
-}
-
-func (c *Client) outVersion(key string) uint64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.view(key).outVersion
-}
-
-func (c *Client) learnOut(key string, reply AskReply) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if view := c.view(key); view.outVersion != reply.OutVersion {
-		view.outVersion, view.out = reply.OutVersion, reply.Out
-	}
-}
-
-func (c *Client) view(key string) *poolView {
-	view, known := c.views[key]
-	if !known {
-		view = &poolView{}
-		c.views[key] = view
-	}
-	return view
-}
-
 // chooseAlone returns a lease without a broker.
 func (c *Client) chooseAlone(request Request) (*Lease, error) {
 	c.fallen.Add(1)
@@ -384,29 +282,3 @@
 			c.members.UpstreamLeaving(upstream.Address)
 	}
 }
-
-// ClientState is the dump of the client.
-type ClientState struct {
-	Held      int         `yaml:"held"`
-	Fallbacks int64       `yaml:"fallbacks"`
-	Pools     []ViewState `yaml:"pools"`
-}
-
-// ViewState is the dump of what is known of one pool.
-type ViewState struct {
-	Pool   string   `yaml:"pool"`
-	Broker string   `yaml:"broker"`
-	Out    []string `yaml:"out,omitempty"`
-}
-
-// Dump returns the leases in use and the known brokers.
-func (c *Client) Dump() ClientState {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	state := ClientState{Held: len(c.held), Fallbacks: c.fallen.Load(), Pools: []ViewState{}}
-	for key, view := range c.views {
-		state.Pools = append(state.Pools, ViewState{Pool: key, Broker: view.broker, Out: view.out})
-	}
-	sortViews(state.Pools)
-	return state
-}
--- a/grant/receiver.go
+++ b/grant/receiver.go
@@ -96,23 +96,47 @@
 	}
 }
 
+// goneSession is an ended connection whose grants may still be claimed.
+type goneSession struct {
+	session uint64
+	at      time.Time
+}
+
 // watch frees what came over a connection once that ends: asks at once, and
 // grants some time later, unless the entry claims them over a new connection.
 func (s *Service) watch(session *wire.Session) {
 	session.OnEnd(func() {
+		now := time.Now()
 		for _, r := range s.allRunners() {
 			r.do(func(pool *broker.Pool) []broker.Action {
-				return pool.SessionEnded(time.Now(), session.ID)
+				return pool.SessionEnded(now, session.ID)
 			})
 		}
-		time.AfterFunc(claimPeriod, func() { s.free(session.ID) })
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.gone = append(s.gone, goneSession{session: session.ID, at: now})
 	})
 }
 
-func (s *Service) free(session uint64) {
-	for _, r := range s.allRunners() {
-		r.do(func(pool *broker.Pool) []broker.Action {
-			return pool.SessionGone(time.Now(), session)
-		})
+// freeGone frees the grants that were not claimed in time.
+func (s *Service) freeGone(now time.Time) {
+	for _, session := range s.takeGone(now) {
+		for _, r := range s.allRunners() {
+			r.do(func(pool *broker.Pool) []broker.Action {
+				return pool.SessionGone(now, session)
+			})
+		}
+	}
+}
+
+// takeGone removes and returns the connections that ended long enough ago.
+func (s *Service) takeGone(now time.Time) []uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var taken []uint64
+	for len(s.gone) > 0 && now.Sub(s.gone[0].at) >= claimPeriod {
+		taken = append(taken, s.gone[0].session)
+		s.gone = s.gone[1:]
 	}
+	return taken
 }
--- a/grant/service.go
+++ b/grant/service.go
@@ -46,6 +46,7 @@
 	mutex    sync.Mutex
 	runners  map[string]*runner
 	draining bool
+	gone     []goneSession
 	stale    chan struct{}
 	siblings chan siblingCall
 }
@@ -128,6 +129,7 @@
 }
 
 func (s *Service) tickAll(now time.Time) {
+	s.freeGone(now)
 	for _, r := range s.allRunners() {
 		if r.idle(now.Add(-poolIdlePeriod)) {
 			s.forget(r.key)
