End a request at its deadline when the caller stalls within its body

Cause: new TestEarlyAnswer did not end: an attempt ends only once its body does, so a caller that stalled within a streamed body held its slot past the deadline, for as long as its connection lived.

Ruled out: the upstream (it blocked too, since net/http's server reads an unfinished body before it answers unless told otherwise; that was the test's own upstream, and is set right there).

Change: the caller's connection has a read deadline 50 ms after the request's. Tests for early answers, stalled and streamed bodies, trailers both ways and hop-by-hop headers.

Conclusion: a slot is never held beyond its request's deadline by a caller.

--- a/entry/body.go
+++ b/entry/body.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +15,9 @@
 // maxBufferedBody is the largest body that is kept for a retry.
 const maxBufferedBody = 16 << 10
 
+// bodyMargin lets the request's own deadline pass before its body's.
+const bodyMargin = 50 * time.Millisecond
+
 // body is the body of a caller's request, kept when it is small.
 type body struct {
 	buffered []byte
@@ -37,6 +41,16 @@
 	return b, nil
 }
 
+// readDeadline returns when reading the caller's connection has to end: for a
+// streamed body soon after the request's deadline, since an attempt ends only
+// once its body does, and never for one that is kept.
+func (b *body) readDeadline(deadline time.Time) time.Time {
+	if b.stream == nil {
+		return time.Time{}
+	}
+	return deadline.Add(bodyMargin)
+}
+
 // intact reports whether the body can still be sent as a whole.
 func (b *body) intact() bool {
 	return b.stream == nil || !b.touched
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return refuse(http.StatusBadRequest, ReasonBodyBroken), true
 	}
-	_ = controller.SetReadDeadline(time.Time{})
+	_ = controller.SetReadDeadline(e.body.readDeadline(e.deadline))
 	e.fingerprint = e.body.fingerprint(r)
 	e.history.Repeatable = target.Route.Repeatable && r.Header.Get(proto.HeaderUnrepeatable) != "true"
 	return ownAnswer{}, false
--- /dev/null
+++ b/entry/stream_test.go
@@ -0,0 +1,128 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"dandeliondoor/proto"
+)
+
+// handled returns an upstream that answers by a handler.
+func handled(t *testing.T, handler http.HandlerFunc) *faultyUpstream {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return &faultyUpstream{address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+}
+
+// post sends a streamed body to the rig's daemon.
+func (r *rig) post(ctx context.Context, t *testing.T, body io.Reader, trailer http.Header) *http.Response {
+	t.Helper()
+	target := "http://" + r.fleet.Daemons[0].Settings.Listen.Callers.String() + "/bales"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "souk.example"
+	request.Trailer = trailer
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+// TestEarlyAnswer answers before the caller has sent its whole body: the caller
+// has the answer while it still sends.
+func TestEarlyAnswer(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, handled(t, func(w http.ResponseWriter, _ *http.Request) {
+		// Else net/http's server reads the body to its end first.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.WriteHeader(http.StatusConflict)
+		io.WriteString(w, "sold already")
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reader, writer := io.Pipe()
+	go func() { _, _ = io.WriteString(writer, "lot=12&") }()
+	response := r.post(ctx, t, reader, nil)
+	text, err := io.ReadAll(response.Body)
+	writer.Close()
+	if err != nil || response.StatusCode != http.StatusConflict || string(text) != "sold already" {
+		t.Fatalf("got %d %q %v", response.StatusCode, text, err)
+	}
+}
+
+// TestStalledBody stops sending within the body: the request ends at its
+// deadline, and does not hold its slot any longer.
+func TestStalledBody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, handled(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	reader, writer := io.Pipe()
+	go func() { _, _ = io.WriteString(writer, "lot=12&") }()
+	response := r.post(ctx, t, reader, nil)
+	writer.Close()
+	if response.StatusCode != http.StatusGatewayTimeout || response.Header.Get(proto.HeaderOutcome) != string(proto.OutcomeUnknown) {
+		t.Fatalf("got %d %v", response.StatusCode, response.Header)
+	}
+}
+
+// TestStreamedBody sends a body of unknown length with a trailer and reads the
+// answer's trailer.
+func TestStreamedBody(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	r := newRig(t, handled(t, func(w http.ResponseWriter, r *http.Request) {
+		count, _ := io.Copy(io.Discard, r.Body)
+		if count == size && r.Trailer.Get("Body-Digest") == "abc" {
+			w.Header().Set("Trailer", "Answer-Digest")
+			io.WriteString(w, "taken")
+			w.Header().Set("Answer-Digest", "def")
+		}
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	body := io.MultiReader(strings.NewReader(strings.Repeat("x", size)))
+	response := r.post(ctx, t, body, http.Header{"Body-Digest": {"abc"}})
+	text, err := io.ReadAll(response.Body)
+	if err != nil || string(text) != "taken" || response.Trailer.Get("Answer-Digest") != "def" {
+		t.Fatalf("got %q %v, trailer %v", text, err, response.Trailer)
+	}
+}
+
+// TestHopHeaders sends headers of one connection only: the upstream sees none
+// of them, and the caller's own.
+func TestHopHeaders(t *testing.T) {
+	t.Parallel()
+	seen := make(chan http.Header, 1)
+	r := newRig(t, handled(t, func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set("Proxy-Authenticate", "Basic")
+	}))
+	answer := r.call(http.MethodPost, "/bales", "", http.Header{
+		"Connection": {"X-Private"}, "Proxy-Authorization": {"secret"}, "X-Private": {"1"}, "X-Public": {"2"},
+	})
+	header := <-seen
+	for _, name := range []string{"Proxy-Authorization", "X-Private"} {
+		if header.Get(name) != "" {
+			t.Errorf("the upstream saw %s", name)
+		}
+	}
+	if header.Get("X-Public") != "2" || header.Get("X-Forwarded-For") != "127.0.0.1" {
+		t.Errorf("the upstream saw %v", header)
+	}
+	if answer.Header.Get("Keep-Alive") != "" || answer.Header.Get("Proxy-Authenticate") != "" {
+		t.Errorf("the caller saw %v", answer.Header)
+	}
+}
