Do not hold short deadlines of callers against upstreams

Cause: found on reading: a request whose caller gave less time than the work takes counted as a failure of its upstream.

Change: a timeout is evidence only when the time given is well above the route's median at that pool.

Figures: TestDeadlines red without the check (a healthy upstream ejected), green with it, and an upstream that lets ten times the usual time pass is still ejected.

Conclusion: callers cannot eject upstreams by impatience.

--- a/health/baseline.go
+++ b/health/baseline.go
@@ -89,6 +89,16 @@
 	return math.Max(-maxDeviation, math.Min(maxDeviation, deviation)), ready
 }
 
+// explains reports whether a healthy upstream may well take as long as a request
+// was given: its deadline then says nothing about the upstream.
+func (b *baselines) explains(route string, given time.Duration) bool {
+	base, known := b.routes[route]
+	if !known || !base.ready() {
+		return false
+	}
+	return math.Log(math.Max(given.Seconds(), time.Microsecond.Seconds()))-base.median < slowShift
+}
+
 // learnSigma moves the estimate of the spread of healthy latency.
 func (b *baselines) learnSigma(deviation float64) {
 	variance := b.sigma * b.sigma
--- a/health/evidence.go
+++ b/health/evidence.go
@@ -36,6 +36,9 @@
 }
 
 func (t *Tracker) observeWork(now time.Time, u *upstream, sample Sample) []Verdict {
+	if sample.Outcome == TimedOut && t.baselines.explains(sample.Route, sample.Duration) {
+		return nil
+	}
 	failed := sample.Outcome != Success
 	deviation, judged := 0.0, false
 	if !failed {
--- a/health/tracker_test.go
+++ b/health/tracker_test.go
@@ -102,6 +102,39 @@
 	}
 }
 
+// TestDeadlines lets callers give one upstream's requests less time than the
+// work takes, which says nothing about it, or far more, which does.
+func TestDeadlines(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		given   time.Duration
+		ejected bool
+	}{
+		{name: "less than the work takes", given: 10 * time.Millisecond},
+		{name: "ten times what the work takes", given: 200 * time.Millisecond, ejected: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := newTracked(0)
+			tf := newTraffic(1, false)
+			for tf.now.Sub(epoch) < 70*time.Second {
+				sample, sent := tf.next(d, sickFrom(time.Minute, behaviour{failShare: 1}))
+				if !sent {
+					continue
+				}
+				if sample.Outcome == health.Failed {
+					sample.Outcome, sample.Duration = health.TimedOut, test.given
+				}
+				d.observe(tf.now, sample)
+			}
+			if ejected := len(d.ejected) > 0; ejected != test.ejected {
+				t.Errorf("ejected is %t", ejected)
+			}
+		})
+	}
+}
+
 // TestFlapping lets an upstream turn sick and well each 5 s: it is ejected
 // each time for longer, so that few of its requests fail.
 func TestFlapping(t *testing.T) {
