Replay an upstream that lies about its load

Change: a trace in which the upstream that reports no load is preferred and gets no more than its slots.

Conclusion: reported load only orders candidates.

--- a/broker/replay_test.go
+++ b/broker/replay_test.go
@@ -49,6 +49,7 @@
 	Outcome     string        `yaml:"outcome"`
 	Latency     time.Duration `yaml:"latency"`
 	Draining    bool          `yaml:"draining"`
+	Load        *float64      `yaml:"load"`
 	Upstream    string        `yaml:"upstream"`
 }
 
@@ -106,8 +107,12 @@
 		if e.Outcome == health.Success.String() && slices.Contains(r.sick, r.held[e.Request]) {
 			e.Outcome = health.Failed.String()
 		}
+		load := -1.0
+		if e.Load != nil {
+			load = *e.Load
+		}
 		actions = r.pool.Release(now, broker.Release{
-			ID: id, Outcome: outcomeByName(e.Outcome), Latency: e.Latency, Duration: e.Latency, Load: -1, Draining: e.Draining,
+			ID: id, Outcome: outcomeByName(e.Outcome), Latency: e.Latency, Duration: e.Latency, Load: load, Draining: e.Draining,
 		})
 	case "session_ended":
 		actions = r.pool.SessionEnded(now, e.Session)
