Lose a whole zone at once under load

Cause: the target loses a zone every other month, and nothing showed it.

Change: TestZoneLost kills two daemons and three upstreams of a zone at once.

--- a/procs/stop_test.go
+++ b/procs/stop_test.go
@@ -233,3 +233,31 @@
 	good := checkAnswers(t, all, nil)
 	t.Logf("%d answered, %d shed by upstreams before the pause, %d after", good, before, f.sheds()-before)
 }
+
+// TestZoneLost kills all daemons and upstreams of one zone at once: repeatable
+// requests through the other zones' daemons are answered all the while.
+func TestZoneLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6, 9)
+	f.publishSouk(60)
+	lost := zones[0]
+	others := slices.DeleteFunc(slices.Clone(f.daemons), func(d *daemonProcess) bool { return d.zone == lost })
+	next := 0
+	pick := lockedPick(func() *daemonProcess { next++; return others[next%len(others)] })
+	all := newLoad(f, pick).run(12, http.MethodGet, "/lots", func() {
+		time.Sleep(time.Second)
+		for _, d := range f.daemons {
+			if d.zone == lost {
+				d.signal(t, syscall.SIGKILL)
+			}
+		}
+		for _, u := range f.upstreams {
+			if u.vm.Zone == lost {
+				u.signal(t, syscall.SIGKILL)
+			}
+		}
+		time.Sleep(3 * time.Second)
+	})
+	good := checkAnswers(t, all, nil)
+	t.Logf("%d answered", good)
+}
