--- a/broker/pool_bench_test.go
+++ b/broker/pool_bench_test.go
@@ -30,7 +30,7 @@
 // count of entries and with a region's of the target size.
 func BenchmarkGrant(b *testing.B) {
 	for _, entries := range []int{48, 683} {
-		for _, upstreams := range []int{2, 7, 16} {
+		for _, upstreams := range []int{1, 2, 7, 16} {
 			b.Run(fmt.Sprintf("entries=%d/upstreams=%d", entries, upstreams), func(b *testing.B) {
 				pool := newPool(upstreams, 3, entries)
 				seq := uint64(0)
