Bound the suspects that wait, and free those that are cleared

Cause: found on reading: asks of a suspect fingerprint waited without bound, and ran one at a time even after the fingerprint was cleared, while their upstream was kept empty for them.

Change: at most 64 wait, more are refused as overload; once a fingerprint is clear, its asks wait among the others.

Conclusion: one crash no longer serialises a fingerprint for long.

--- a/broker/admit.go
+++ b/broker/admit.go
@@ -27,6 +27,9 @@
 	case crash.Convicted:
 		return []Action{Refused{ID: ask.ID, Reason: ReasonPoisonous}}
 	case crash.Suspect:
+		if len(p.suspects) >= maxSuspects {
+			return []Action{Refused{ID: ask.ID, Reason: ReasonOverload, RetryAfter: minRetryAfter}}
+		}
 		p.suspects = append(p.suspects, entered)
 		return p.serve(now)
 	case crash.Clear:
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -12,6 +12,7 @@
 // The bounds of a pool's queue and grants.
 const (
 	maxQueued        = 1024
+	maxSuspects      = 64
 	maxShortWait     = 500 * time.Millisecond
 	grantMargin      = time.Second
 	settlePeriod     = 250 * time.Millisecond
--- a/broker/serve.go
+++ b/broker/serve.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/health"
 	"dandeliondoor/model"
 	"dandeliondoor/rank"
@@ -294,6 +295,7 @@
 // serveSuspects runs one suspect at a time on an upstream with nothing else in
 // flight, which is emptied for it if need be.
 func (p *Pool) serveSuspects(now time.Time) []Action {
+	p.queueCleared(now)
 	if p.aloneRun || len(p.suspects) == 0 {
 		return nil
 	}
@@ -306,6 +308,20 @@
 	return []Action{p.grant(next, s, true)}
 }
 
+// queueCleared lets suspects that have been cleared meanwhile wait among the
+// others.
+func (p *Pool) queueCleared(now time.Time) {
+	for i := 0; i < len(p.suspects); {
+		candidate := p.suspects[i]
+		if p.memory.Standing(now, candidate.ask.Fingerprint) != crash.Clear {
+			i++
+			continue
+		}
+		p.dropSuspect(i)
+		p.queues[candidate.class].push(candidate)
+	}
+}
+
 // reserve returns the upstream that is emptied for a suspect.
 func (p *Pool) reserve(now time.Time, w *waiting) *server {
 	var best *server
--- a/health/tracker_test.go
+++ b/health/tracker_test.go
@@ -221,7 +221,7 @@
 				outcome := rapid.SampledFrom([]health.Outcome{health.Failed, health.Lost, health.TimedOut, health.Unreachable}).Draw(t, "outcome")
 				for i := range rapid.IntRange(1, 12).Draw(t, "times") {
 					before := tracker.Capacity()
-					check(before, tracker.Observe(now, health.Sample{Upstream: upstream, Reporter: tfName(i), Route: "lots", Outcome: outcome}))
+					check(before, tracker.Observe(now, health.Sample{Upstream: upstream, Reporter: reporterName(i), Route: "lots", Outcome: outcome}))
 				}
 			},
 			"leave": func(t *rapid.T) {
@@ -232,7 +232,7 @@
 				for i := range 40 {
 					now = now.Add(50 * time.Millisecond)
 					check(tracker.Capacity(), tracker.Observe(now, health.Sample{
-						Upstream: upstream, Reporter: tfName(i), Route: "lots", Duration: 500 * time.Millisecond,
+						Upstream: upstream, Reporter: reporterName(i), Route: "lots", Duration: 500 * time.Millisecond,
 					}))
 				}
 			},
@@ -240,7 +240,7 @@
 				for i := range poolSize * 4 {
 					now = now.Add(time.Millisecond)
 					check(tracker.Capacity(), tracker.Observe(now, health.Sample{
-						Upstream: upstreamName(i % poolSize), Reporter: tfName(i), Route: "lots", Duration: 20 * time.Millisecond,
+						Upstream: upstreamName(i % poolSize), Reporter: reporterName(i), Route: "lots", Duration: 20 * time.Millisecond,
 					}))
 				}
 			},
@@ -269,4 +269,4 @@
 	return cause == health.CauseFailures || cause == health.CauseSlow
 }
 
-func tfName(i int) string { return "daemon-" + string(rune('a'+i%3)) }
+func reporterName(i int) string { return "daemon-" + string(rune('a'+i%3)) }
