--- a/cmds/main.go
+++ b/cmds/main.go
@@ -55,7 +55,8 @@
 // Main runs the command that the arguments name and returns its exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
 	p := &program{stdout: stdout, stderr: stderr}
-	if logger, err := logs.New(stderr, "text", "error"); err == nil {
+	// What a library has to say of a failure stands in the command's own error.
+	if logger, err := logs.New(stderr, "text", "fatal"); err == nil {
 		logger.TakeLibraryLogs()
 	}
 	parser := flags.NewNamedParser("dandeliondoor", flags.HelpFlag|flags.PassDoubleDash)
--- a/cmds/rendercmd.go
+++ b/cmds/rendercmd.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/decl"
 	"dandeliondoor/firms"
 	"dandeliondoor/model"
@@ -51,6 +53,9 @@
 	case "fes":
 		example = firms.Fes(firms.FesSizes, firms.PrivateAddresses)
 	default:
+		if c.Args.File == "" {
+			return model.Deployment{}, &ExitError{Code: ExitUsage, Err: errors.New("render needs a file or --example")}
+		}
 		return loadDeployment(c.Args.File)
 	}
 	return example.Build()
--- a/cmds/statuscmd.go
+++ b/cmds/statuscmd.go
@@ -28,7 +28,7 @@
 
 // Execute runs the command.
 func (c *statusCommand) Execute([]string) error {
-	var statuses []spread.Status
+	statuses := []spread.Status{}
 	var failures []error
 	for _, daemon := range c.Daemons {
 		status, err := readStatus(daemon)
