--- a/broker/firms_bench_test.go
+++ b/broker/firms_bench_test.go
@@ -28,8 +28,7 @@
 				load := func(time.Duration) float64 { return 0.9 }
 				two, own := w.jobs(length, load), w.jobs(length, load)
 				simulate(w, newAlone(w, false), two, length)
-				brokers := newBrokered(w, broker.LongByDemand{})
-				simulate(w, brokers, own, length)
+				simulate(w, newBrokered(w, broker.LongByDemand{}), own, length)
 				crowd := w.jobs(50*time.Second, crestLoad)
 				simulate(w, newBrokered(w, broker.LongByDemand{}), crowd, 50*time.Second)
 				crest := measureCrest(w, crowd)
@@ -38,7 +37,6 @@
 				b.ReportMetric(quantile(waits(own, model.ClassLong, warm, length), 0.99), "long_p99_ms")
 				b.ReportMetric(100*crest.capacityInTime, "%capacity_in_time")
 				b.ReportMetric(crest.recovery.Seconds(), "recovery_s")
-				b.ReportMetric(float64(brokers.hints)/length.Seconds()/float64(len(brokers.pools)), "hints/s/pool")
 				b.ReportMetric(0, "ns/op")
 			}
 		})
--- a/broker/model_test.go
+++ b/broker/model_test.go
@@ -246,7 +246,6 @@
 	waiting map[broker.GrantID]*job
 	budget  func(class model.Class) time.Duration
 	next    int
-	hints   int
 }
 
 // deadlines are those of the examples: 2 s for short work, 30 s for long.
@@ -327,12 +326,11 @@
 	for _, pool := range b.pools {
 		b.act(s, now, pool.Tick(at))
 	}
+	if now%(60*time.Millisecond) != 0 {
+		return
+	}
 	for _, pool := range b.pools {
-		hint, due := pool.DueHint(at)
-		if !due {
-			continue
-		}
-		b.hints++
+		hint := pool.Hint(at)
 		for _, sibling := range b.pools {
 			if sibling != pool {
 				sibling.TakeHint(at, hint)
--- a/broker/pool.go
+++ b/broker/pool.go
@@ -43,6 +43,11 @@
 	crashSeen   bool
 }
 
+type siblingHint struct {
+	hint Hint
+	at   time.Time
+}
+
 // Pool decides for the upstreams of one pool.
 type Pool struct {
 	key      string
@@ -54,7 +59,6 @@
 	running  map[string]int
 	limits   map[string]int
 	siblings map[string]siblingHint
-	hinted   siblingHint
 	learner  *learner
 	tracker  *health.Tracker
 	memory   *crash.Memory
@@ -145,6 +149,21 @@
 	return append(judged(verdicts), p.serve(now)...)
 }
 
+// TakeHint takes what a sibling pool's broker says of its load.
+func (p *Pool) TakeHint(now time.Time, hint Hint) {
+	p.siblings[hint.Pool] = siblingHint{hint: hint, at: now}
+}
+
+// Hint returns what this pool tells its siblings.
+func (p *Pool) Hint(now time.Time) Hint {
+	_, free := p.usableSlots(now)
+	return Hint{
+		Pool: p.key,
+		Free: max(0, free-p.queues[0].count-p.queues[1].count),
+		Wait: p.expectedWait(now, model.ClassShort),
+	}
+}
+
 // SetLeaving marks an upstream by what the VM list says of it.
 func (p *Pool) SetLeaving(now time.Time, upstream string, leaving bool) []Action {
 	s, known := p.byName[upstream]
--- a/grant/runner.go
+++ b/grant/runner.go
@@ -25,6 +25,8 @@
 	out        []string
 	outVersion uint64
 	usedAt     time.Time
+	hinted     broker.Hint
+	hintedAt   time.Time
 	ended      bool
 }
 
@@ -95,11 +97,22 @@
 	return r.usedAt.Before(since) && len(r.waiting) == 0
 }
 
-// dueHint returns the pool's hint when siblings should hear it.
-func (r *runner) dueHint(now time.Time) (broker.Hint, bool) {
+// hint returns the pool's hint when siblings should hear it: at once when it
+// has changed much, and now and then while the pool is in use.
+func (r *runner) hint(now time.Time) (broker.Hint, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.pool.DueHint(now)
+	hint := r.pool.Hint(now)
+	waits := hint.Wait > 0 || r.hinted.Wait > 0 || hint.Free == 0
+	interval := calmHintInterval
+	if waits {
+		interval = busyHintInterval
+	}
+	if now.Sub(r.hintedAt) < interval {
+		return hint, false
+	}
+	r.hinted, r.hintedAt = hint, now
+	return hint, true
 }
 
 // act hands decisions on; the lock is held.
--- a/grant/service.go
+++ b/grant/service.go
@@ -21,10 +21,12 @@
 
 // The times of the brokered pools.
 const (
-	tickInterval    = 20 * time.Millisecond
-	poolIdlePeriod  = 2 * time.Minute
-	siblingTimeout  = 200 * time.Millisecond
-	maxSiblingCalls = 64
+	tickInterval     = 20 * time.Millisecond
+	poolIdlePeriod   = 2 * time.Minute
+	busyHintInterval = 50 * time.Millisecond
+	calmHintInterval = 400 * time.Millisecond
+	siblingTimeout   = 200 * time.Millisecond
+	maxSiblingCalls  = 64
 )
 
 // Tables gives the configuration in force.
@@ -134,7 +136,7 @@
 			continue
 		}
 		r.tick(now)
-		if hint, due := r.dueHint(now); due {
+		if hint, due := r.hint(now); due {
 			s.sendHint(r.key, hint)
 		}
 	}
