Hand the grants in use to the next broker at a planned stop

Cause: in one of ten runs of all tests TestRollingStop saw a 503 not-run: the next broker did not know of all grants, granted a slot in use, and the upstream shed an unrepeatable request. Nothing was cut, but a planned stop cost a caller his answer.

Ruled out: trying an unrepeatable request again after a documented shed (one write to one upstream in its whole life); a longer careful start (entries that do not ask never tell what they hold).

Change: a broker that leaves tells its successor the grants in use before it sends the asks on, and passes their releases on; an entry whose broker is gone releases to the present one. Ports of process tests differ by process: two runs beside each other had met on a killed daemon's port (404s in TestKill).

--- a/broker/session.go
+++ b/broker/session.go
@@ -46,3 +46,17 @@
 	}
 	return p.serve(now)
 }
+
+// Holds returns the grants in use, for the pool's next broker.
+func (p *Pool) Holds(now time.Time) []Hold {
+	holds := make([]Hold, 0, len(p.grants))
+	for _, held := range p.sortedGrants() {
+		holds = append(holds, Hold{
+			ID:       held.id,
+			Upstream: held.server.name,
+			Class:    held.class,
+			Budget:   held.expires.Add(-grantMargin).Sub(now),
+		})
+	}
+	return holds
+}
--- a/grant/client.go
+++ b/grant/client.go
@@ -100,7 +100,29 @@
 		defer cancel()
 		_, _ = wire.Call[ReleaseRequest, Empty](ctx, c.peers, daemon.Address, releaseMethod, request)
 	default:
+		if !wire.Post[ReleaseRequest, Empty](c.peers, daemon.Address, releaseMethod, request) {
+			c.releaseToNext(daemon, request)
+		}
+	}
+}
+
+// releaseToNext sends a release whose broker is gone to the pool's present one,
+// which that broker may have handed the pool to.
+func (c *Client) releaseToNext(gone member.Daemon, request ReleaseRequest) {
+	owner, declared := c.local.tables.Table().Pool(request.Pool)
+	if !declared {
+		return
+	}
+	for _, daemon := range brokersOf(time.Now(), c.members, owner.Pool.Zone, request.Pool) {
+		if daemon.Name == gone.Name {
+			continue
+		}
+		if daemon.Name == c.members.Self().Name {
+			c.local.release(time.Now(), request)
+			return
+		}
 		wire.Post[ReleaseRequest, Empty](c.peers, daemon.Address, releaseMethod, request)
+		return
 	}
 }
 
--- a/grant/message.go
+++ b/grant/message.go
@@ -11,6 +11,7 @@
 	askMethod     = "Broker.Ask"
 	releaseMethod = "Broker.Release"
 	cancelMethod  = "Broker.Cancel"
+	handMethod    = "Broker.Hand"
 	hintMethod    = "Broker.Hint"
 	learnMethod   = "Broker.Learn"
 )
@@ -62,5 +63,11 @@
 	Standing    crash.Standing
 }
 
+// HandRequest hands a pool's grants in use to its next broker.
+type HandRequest struct {
+	Pool  string
+	Holds []broker.Hold
+}
+
 // Empty is an answer without content.
 type Empty struct{ Done bool }
--- a/grant/receiver.go
+++ b/grant/receiver.go
@@ -63,6 +63,12 @@
 	return nil
 }
 
+// Hand takes a pool over.
+func (r *receiver) Hand(request HandRequest, _ *Empty) error {
+	r.service.takeHand(time.Now(), request)
+	return nil
+}
+
 // Hint takes the hint of a sibling pool.
 func (r *receiver) Hint(request HintRequest, _ *Empty) error {
 	r.service.takeHint(request)
@@ -88,6 +94,7 @@
 	if r, known := s.find(request.Pool); known {
 		r.release(now, request.Release)
 	}
+	s.passOn(request)
 }
 
 func (s *Service) cancel(now time.Time, request CancelRequest) {
--- a/grant/runner.go
+++ b/grant/runner.go
@@ -79,11 +79,16 @@
 	r.act(work(r.pool))
 }
 
-// end sends everything that waits to the next broker.
-func (r *runner) end() {
+// end stops granting, hands the grants in use over, and then sends everything
+// that waits to the next broker.
+func (r *runner) end(now time.Time, hand func(holds []broker.Hold)) {
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	r.ended = true
+	holds := r.pool.Holds(now)
+	r.mutex.Unlock()
+	hand(holds)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	for id, decided := range r.waiting {
 		delete(r.waiting, id)
 		decided <- AskReply{Leaving: true}
@@ -139,6 +144,9 @@
 // decide answers a waiting ask; a grant that nobody waits for is given back.
 func (r *runner) decide(id broker.GrantID, reply AskReply) {
 	decided, waits := r.waiting[id]
+	if r.ended && reply.Granted != nil {
+		waits = false
+	}
 	if !waits {
 		if reply.Granted != nil {
 			r.act(r.pool.Cancel(time.Now(), id))
--- a/grant/service.go
+++ b/grant/service.go
@@ -118,12 +118,12 @@
 
 // Drain hands the pools over: asks are sent to the next broker, while grants
 // that are in use may still be released here.
-func (s *Service) Drain(context.Context) error {
+func (s *Service) Drain(ctx context.Context) error {
 	s.mutex.Lock()
 	s.draining = true
 	s.mutex.Unlock()
 	for _, r := range s.allRunners() {
-		r.end()
+		r.end(time.Now(), func(holds []broker.Hold) { s.hand(ctx, r.key, holds) })
 	}
 	return nil
 }
@@ -201,7 +201,7 @@
 	for _, r := range s.allRunners() {
 		owner, declared := table.Pool(r.key)
 		if !declared {
-			r.end()
+			r.end(now, func([]broker.Hold) {})
 			s.forget(r.key)
 			continue
 		}
--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -413,13 +413,16 @@
 // The ports of the processes lie below those that the system gives to outgoing
 // connections, so that nothing takes a port between its choice and its use.
 const (
-	firstPort = 18000
-	lastPort  = 32000
+	firstPort  = 18000
+	lastPort   = 32000
+	portStride = 500
+	portSpread = 12000
 )
 
 var (
 	portMutex sync.Mutex
-	nextPort  = firstPort
+	// Runs beside each other start at ports of their own.
+	nextPort = firstPort + os.Getpid()*portStride%portSpread
 )
 
 func freeAddress(t *testing.T) netip.AddrPort {
