--- a/admin/service.go
+++ b/admin/service.go
@@ -15,7 +15,6 @@
 	"dandeliondoor/kernel"
 	"dandeliondoor/logs"
 	"dandeliondoor/model"
-	"dandeliondoor/spread"
 )
 
 // Name is the name under which other services find the operators' port.
@@ -33,7 +32,7 @@
 	kernel *kernel.Kernel
 	logger *logs.Logger
 	ready  Readiness
-	status func(now time.Time) spread.Status
+	status func(now time.Time) any
 }
 
 var _ kernel.Service = &Service{}
@@ -41,7 +40,7 @@
 // New returns a service on a listener.
 func New(
 	listener net.Listener, registry *prometheus.Registry, logger *logs.Logger,
-	ready Readiness, status func(now time.Time) spread.Status,
+	ready Readiness, status func(now time.Time) any,
 ) (*Service, error) {
 	s := &Service{logger: logger, ready: ready, status: status}
 	router := httpd.NewRouter()
--- a/entry/paths.go
+++ b/choose/paths.go
@@ -1,4 +1,4 @@
-package entry
+package choose
 
 import (
 	"time"
@@ -60,3 +60,14 @@
 		}
 	}
 }
+
+// AvoidedAll returns the upstreams that are not to be asked for.
+func (p *Paths) AvoidedAll(now time.Time) []string {
+	var names []string
+	for upstream, state := range p.failed {
+		if now.Before(state.until) {
+			names = append(names, upstream)
+		}
+	}
+	return names
+}
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -78,6 +78,7 @@
 		{name: "check", short: "Check a deployment", long: checkHelp, command: &checkCommand{program: p}},
 		{name: "completion", short: "Print a shell completion", long: completionHelp, command: &completionCommand{program: p}},
 		{name: "demo", short: "Run both example deployments in one process", long: demoHelp, command: &demoCommand{program: p}},
+		{name: "front", short: "Run a daemon on the platform", long: frontHelp, command: &frontCommand{program: p}},
 		{name: "publish", short: "Publish a deployment", long: publishHelp, command: &publishCommand{program: p}},
 		{name: "render", short: "Print a deployment as it is published", long: renderHelp, command: &renderCommand{program: p}},
 		{name: "serve", short: "Run a daemon", long: serveHelp, command: &serveCommand{program: p}},
--- a/config/settings.go
+++ b/config/settings.go
@@ -110,14 +110,18 @@
 	if !slices.Contains(settings.Zones, settings.Zone) {
 		findings.Add(document.Place("zone"), "zone %q is not in zones", settings.Zone)
 	}
-	if settings.Logs.Format != "text" && settings.Logs.Format != "json" {
-		findings.Add(document.Place("logs", "format"), "format %q is neither text nor json", settings.Logs.Format)
-	}
+	checkFormat(&findings, document.Place("logs", "format"), settings.Logs.Format)
 	checkAddresses(&findings, document, settings)
 	checkDurations(&findings, document, settings)
 	return findings
 }
 
+func checkFormat(findings *check.Findings, place check.Place, format string) {
+	if format != "text" && format != "json" {
+		findings.Add(place, "format %q is neither text nor json", format)
+	}
+}
+
 func checkAddresses(findings *check.Findings, document *check.Document[Settings], settings Settings) {
 	seen := make(map[netip.AddrPort]string)
 	for _, port := range []struct {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,7 +121,8 @@
 	client := grant.NewClient(members, peers, brokers, seed, d.logger.Part(grant.Name))
 	handler := entry.NewHandler(d.spread, members, client, registry, d.logger.Part(entry.Name))
 	d.entry = entry.NewService(open.Callers, handler, client, settings.Stop.BalancerLag, d.logger.Part(entry.Name))
-	operators, err := admin.New(open.Operators, registry, d.logger, d.Ready, d.spread.Status)
+	operators, err := admin.New(open.Operators, registry, d.logger, d.Ready,
+		func(now time.Time) any { return d.spread.Status(now) })
 	if err != nil {
 		return err
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"dandeliondoor/choose"
 	"dandeliondoor/grant"
 	"dandeliondoor/health"
 	"dandeliondoor/httpd"
@@ -37,7 +38,7 @@
 	log        *logrus.Entry
 
 	mutex   sync.Mutex
-	paths   *Paths
+	paths   *choose.Paths
 	budgets map[string]*retry.Budget
 }
 
@@ -54,7 +55,7 @@
 		transports: newTransports(),
 		metrics:    newMetrics(registry),
 		log:        log,
-		paths:      NewPaths(),
+		paths:      choose.NewPaths(),
 		budgets:    make(map[string]*retry.Budget),
 	}
 }
--- /dev/null
+++ b/feed/message.go
@@ -0,0 +1,65 @@
+package feed
+
+import (
+	"time"
+
+	"dandeliondoor/topo"
+)
+
+// The call by which a daemon follows another one.
+const (
+	receiverName = "Feed"
+	followMethod = "Feed.Follow"
+)
+
+// FollowRequest says what the follower has already: revisions count for the
+// incarnation of the followed process that gave them.
+type FollowRequest struct {
+	Incarnation uint64
+	Config      uint64
+	Servers     uint64
+	Daemons     uint64
+}
+
+// FollowReply brings what is newer. Age is how long ago the store confirmed it.
+type FollowReply struct {
+	Incarnation     uint64
+	Age             time.Duration
+	Known           bool
+	Leaving         bool
+	Config          *topo.Config
+	Servers         []ServerChange
+	ServersComplete bool
+	ServersRev      uint64
+	Daemons         []topo.Change[topo.Daemon]
+	DaemonsComplete bool
+	DaemonsRev      uint64
+}
+
+// ServerChange is a change of a server with the rest of its warm-up, since a
+// time of one process means nothing to another.
+type ServerChange struct {
+	Change   topo.Change[topo.Server]
+	ColdLeft time.Duration
+}
+
+func toWire(now time.Time, changes []topo.Change[topo.Server]) []ServerChange {
+	sent := make([]ServerChange, len(changes))
+	for i, change := range changes {
+		sent[i].ColdLeft = max(change.Value.ColdUntil.Sub(now), 0)
+		change.Value.ColdUntil = time.Time{}
+		sent[i].Change = change
+	}
+	return sent
+}
+
+func fromWire(now time.Time, sent []ServerChange) []topo.Change[topo.Server] {
+	changes := make([]topo.Change[topo.Server], len(sent))
+	for i, item := range sent {
+		changes[i] = item.Change
+		if item.ColdLeft > 0 {
+			changes[i].Value.ColdUntil = now.Add(item.ColdLeft)
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/feed/read.go
@@ -0,0 +1,119 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"dandeliondoor/kernel"
+	"dandeliondoor/topo"
+)
+
+// longPoll is how long the store may hold a call for the configuration or the
+// daemons, which change rarely.
+const longPoll = 10 * time.Second
+
+// read reads the store for as long as this daemon is the first usable source of
+// its zone.
+func (s *Service) read(ctx context.Context) {
+	if s.followed.name != s.self.Name {
+		s.setSource(s.self.Name)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	configs := kernel.Run(ctx, func(ctx context.Context) error { return watch(ctx, s, s.sources.Configs, s.takeConfigs) })
+	daemons := kernel.Run(ctx, func(ctx context.Context) error { return watch(ctx, s, s.sources.Daemons, s.takeDaemons) })
+	wait := retryPause
+	for ctx.Err() == nil {
+		next := s.settings.Interval
+		wasOut := s.storeOut
+		if s.readServers(ctx) {
+			wait = retryPause
+		} else {
+			next = s.jitter(wait)
+			wait = min(2*wait, maxRetryPause)
+		}
+		if wasOut && !s.storeOut {
+			// Calls that the store still holds may never be answered.
+			break
+		}
+		pause(ctx, next)
+		if !s.first(time.Now()) {
+			break
+		}
+	}
+	cancel()
+	<-configs
+	<-daemons
+}
+
+// first reports whether no other daemon of the zone is to be followed.
+func (s *Service) first(now time.Time) bool {
+	for i, daemon := range s.order() {
+		if daemon.Name == s.self.Name || i == sourceTries {
+			return true
+		}
+		if s.peers.Usable(daemon.Address) && !s.avoids(now, daemon.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// readServers reads the servers once and reports whether the store answered.
+func (s *Service) readServers(ctx context.Context) bool {
+	changes, complete, err := s.sources.Servers.Poll(ctx, 0)
+	now := time.Now()
+	if err != nil {
+		if !s.storeOut && ctx.Err() == nil {
+			s.log.WithError(err).WithField("age", now.Sub(s.View().FreshAt).String()).Warn("store lost; the known servers stay in use")
+			s.storeOut = true
+		}
+		return false
+	}
+	known := s.View().FreshAt
+	if !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
+		s.lapses.returned(now)
+	}
+	if s.storeOut {
+		s.log.WithField("age", now.Sub(known).String()).Info("store regained")
+		s.storeOut = false
+	}
+	s.apply(func(state *state) bool {
+		state.freshAt = now
+		held, whole := s.lapses.hold(now, state.servers, changes, complete)
+		state.serversKnown = state.serversKnown || complete
+		return state.takeServers(held, whole) || complete
+	})
+	return true
+}
+
+func (s *Service) takeConfigs(changes []topo.Change[*topo.Config], _ bool) {
+	s.apply(func(state *state) bool {
+		changed := false
+		for _, change := range changes {
+			changed = state.takeConfig(change.Value) || changed
+		}
+		return changed
+	})
+}
+
+func (s *Service) takeDaemons(changes []topo.Change[topo.Daemon], complete bool) {
+	s.apply(func(state *state) bool { return state.takeDaemons(changes, complete) })
+}
+
+// watch long-polls one part of the store until the context ends.
+func watch[V any](
+	ctx context.Context, s *Service, poller Poller[V], take func(changes []topo.Change[V], complete bool),
+) error {
+	wait := retryPause
+	for ctx.Err() == nil {
+		changes, complete, err := poller.Poll(ctx, longPoll)
+		if err != nil {
+			pause(ctx, s.jitter(wait))
+			wait = min(2*wait, maxRetryPause)
+			continue
+		}
+		wait = retryPause
+		take(changes, complete)
+	}
+	return nil
+}
--- a/httpd/framing.go
+++ b/httpd/framing.go
@@ -88,6 +88,8 @@
 // framingListener wraps each connection that it accepts.
 type framingListener struct {
 	net.Listener
+
+	eager bool
 }
 
 // Accept waits for the next connection.
@@ -96,6 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.eager {
+		conn = newEagerConn(conn)
+	}
 	return &framingConn{Conn: conn}, nil
 }
 
@@ -119,6 +124,22 @@
 	return ctx
 }
 
+// withGone also cancels the context when the caller closes the connection.
+func withGone(ctx context.Context, conn net.Conn) context.Context {
+	watched, isWatched := conn.(*framingConn)
+	if !isWatched {
+		return ctx
+	}
+	ctx = withFraming(ctx, conn)
+	eager, isEager := watched.Conn.(*eagerConn)
+	if !isEager {
+		return ctx
+	}
+	ctx, gone := context.WithCancel(ctx)
+	eager.onGone(gone)
+	return ctx
+}
+
 // Framing is what is known of the framing of a request.
 type Framing struct {
 	Ambiguous bool
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -22,8 +22,20 @@
 	listener net.Listener
 }
 
+// Option changes a server at its construction.
+type Option func(*Server)
+
+// WithEagerReads cancels the context of a request as soon as its caller closes
+// the connection, even when further requests wait behind it.
+func WithEagerReads() Option {
+	return func(s *Server) {
+		s.listener = framingListener{Listener: s.listener, eager: true}
+		s.server.ConnContext = withGone
+	}
+}
+
 // NewServer returns a server for a listener; it takes the listener over.
-func NewServer(listener net.Listener, handler http.Handler) *Server {
+func NewServer(listener net.Listener, handler http.Handler, options ...Option) *Server {
 	server := &http.Server{
 		Handler:           handler,
 		ConnContext:       withFraming,
@@ -31,7 +43,14 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	return &Server{server: server, listener: framingListener{Listener: listener}}
+	s := &Server{server: server, listener: listener}
+	for _, option := range options {
+		option(s)
+	}
+	if _, wrapped := s.listener.(framingListener); !wrapped {
+		s.listener = framingListener{Listener: listener}
+	}
+	return s
 }
 
 // Serve accepts connections until Shutdown, or until the context ends, which
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strings"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
@@ -14,7 +15,8 @@
 
 // Logger writes the log of one process.
 type Logger struct {
-	root *logrus.Logger
+	root    *logrus.Logger
+	dropped *atomic.Uint64
 }
 
 // New returns a logger that writes text or json to w.
--- /dev/null
+++ b/slots/doc.go
@@ -0,0 +1,4 @@
+// Package slots brokers the servers of each service: one daemon, found by rank,
+// decides for a service, and the others ask it over net/rpc. A daemon that
+// reaches no broker decides for its own requests.
+package slots
--- /dev/null
+++ b/slots/message.go
@@ -0,0 +1,54 @@
+package slots
+
+import (
+	"time"
+
+	"dandeliondoor/choose"
+	"dandeliondoor/topo"
+)
+
+// The calls between daemons.
+const (
+	receiverName  = "Slots"
+	askMethod     = "Slots.Ask"
+	releaseMethod = "Slots.Release"
+)
+
+// AskRequest asks for a server of a service.
+type AskRequest struct {
+	Service string
+	Ask     choose.Ask
+}
+
+// AskReply holds a decision, or says that the daemon decides no longer.
+type AskReply struct {
+	Granted *choose.Granted
+	Refused *choose.Refused
+	Leaving bool
+}
+
+// ReleaseRequest ends an attempt.
+type ReleaseRequest struct {
+	Service string
+	Release choose.Release
+}
+
+// Empty is the reply of calls that return nothing.
+type Empty struct{}
+
+// Lease is a server for one attempt. Broker is the daemon that gave it, empty
+// for this one.
+type Lease struct {
+	Service  string
+	Server   topo.Server
+	Ticket   uint64
+	Broker   topo.Daemon
+	Alone    bool
+	Patience time.Duration
+}
+
+// RefusedError means that there is no server for an attempt.
+type RefusedError struct{ choose.Refused }
+
+// Error names the reason.
+func (e *RefusedError) Error() string { return "no server: " + string(e.Reason) }
--- /dev/null
+++ b/topo/replica.go
@@ -0,0 +1,92 @@
+package topo
+
+// Change is one record of a replicated table; Gone says that the key was
+// removed.
+type Change[V any] struct {
+	Key   string
+	Value V
+	Gone  bool
+	Rev   uint64
+}
+
+// Replica is a table of values by key whose changes since a revision can be
+// listed. It keeps the keys of removed values until Forget.
+type Replica[V any] struct {
+	rev     uint64
+	floor   uint64
+	records map[string]Change[V]
+}
+
+// NewReplica returns an empty table.
+func NewReplica[V any]() *Replica[V] {
+	return &Replica[V]{records: make(map[string]Change[V])}
+}
+
+// Put stores a value.
+func (r *Replica[V]) Put(key string, value V) {
+	r.rev++
+	r.records[key] = Change[V]{Key: key, Value: value, Rev: r.rev}
+}
+
+// Remove marks a key as gone; it reports whether there was a value.
+func (r *Replica[V]) Remove(key string) bool {
+	if found, known := r.records[key]; !known || found.Gone {
+		return false
+	}
+	r.rev++
+	r.records[key] = Change[V]{Key: key, Gone: true, Rev: r.rev}
+	return true
+}
+
+// Get returns the value of a key.
+func (r *Replica[V]) Get(key string) (V, bool) {
+	found, known := r.records[key]
+	return found.Value, known && !found.Gone
+}
+
+// Rev returns the revision of the newest change.
+func (r *Replica[V]) Rev() uint64 { return r.rev }
+
+// Each calls visit for each value.
+func (r *Replica[V]) Each(visit func(key string, value V)) {
+	for key, record := range r.records {
+		if !record.Gone {
+			visit(key, record.Value)
+		}
+	}
+}
+
+// Since returns the changes after a revision. The list is complete, with all
+// keys, when the revision is older than what the table still knows.
+func (r *Replica[V]) Since(rev uint64) (changes []Change[V], complete bool) {
+	complete = rev < r.floor || rev > r.rev
+	for _, record := range r.records {
+		if (complete && !record.Gone) || (!complete && record.Rev > rev) {
+			changes = append(changes, record)
+		}
+	}
+	return changes, complete
+}
+
+// maxRemoved is how many removed keys a table remembers before it forgets them
+// all; followers that lag behind that take the whole table.
+const maxRemoved = 1024
+
+// Forget drops the removed keys once there are many.
+func (r *Replica[V]) Forget() {
+	removed := 0
+	for _, record := range r.records {
+		if record.Gone {
+			removed++
+		}
+	}
+	if removed <= maxRemoved {
+		return
+	}
+	for key, record := range r.records {
+		if record.Gone {
+			delete(r.records, key)
+		}
+	}
+	r.floor = r.rev
+}
