Take views only from fresher daemons; hold configuration calls shortly

Ruled out: lost wake-ups of followers (they follow the reader within 2 ms in the logs); a wrong offset (the same call gets the record when sent later).

--- a/feed/read.go
+++ b/feed/read.go
@@ -8,9 +8,15 @@
 	"dandeliondoor/topo"
 )
 
-// longPoll is how long the store may hold a call for the configuration or the
-// daemons, which change rarely.
-const longPoll = 10 * time.Second
+const (
+	// daemonsWait is how long the store may hold a call for the daemons, whose
+	// list changes rarely.
+	daemonsWait = 10 * time.Second
+	// configParts is how many intervals between reads the store
+	// may hold a call for the configuration. That is short, for a call that is held
+	// while a record is stored may not see it.
+	configParts = 2
+)
 
 // read reads the store for as long as this daemon is the first usable source of
 // its zone.
@@ -18,9 +24,15 @@
 	if s.followed.name != s.self.Name {
 		s.setSource(s.self.Name)
 	}
+	// What other daemons gave meanwhile may differ from what was read last.
+	s.sources.Servers.Relist()
 	ctx, cancel := context.WithCancel(ctx)
-	configs := kernel.Run(ctx, func(ctx context.Context) error { return watch(ctx, s, s.sources.Configs, s.takeConfigs) })
-	daemons := kernel.Run(ctx, func(ctx context.Context) error { return watch(ctx, s, s.sources.Daemons, s.takeDaemons) })
+	configs := kernel.Run(ctx, func(ctx context.Context) error {
+		return watch(ctx, s, s.sources.Configs, configParts*s.settings.Interval, s.takeConfigs)
+	})
+	daemons := kernel.Run(ctx, func(ctx context.Context) error {
+		return watch(ctx, s, s.sources.Daemons, daemonsWait, s.takeDaemons)
+	})
 	wait := retryPause
 	for ctx.Err() == nil {
 		next := s.settings.Interval
@@ -102,12 +114,13 @@
 
 // watch long-polls one part of the store until the context ends.
 func watch[V any](
-	ctx context.Context, s *Service, poller Poller[V], take func(changes []topo.Change[V], complete bool),
+	ctx context.Context, s *Service, poller Poller[V], hold time.Duration, take func(changes []topo.Change[V], complete bool),
 ) error {
 	wait := retryPause
 	for ctx.Err() == nil {
-		changes, complete, err := poller.Poll(ctx, longPoll)
+		changes, complete, err := poller.Poll(ctx, hold)
 		if err != nil {
+			s.log.WithError(err).Debug("long poll failed; trying again")
 			pause(ctx, s.jitter(wait))
 			wait = min(2*wait, maxRetryPause)
 			continue
--- a/feed/service.go
+++ b/feed/service.go
@@ -22,6 +22,8 @@
 // platform.Topic does.
 type Poller[V any] interface {
 	Poll(ctx context.Context, wait time.Duration) (changes []topo.Change[V], complete bool, err error)
+	// Relist makes the next poll return all keys.
+	Relist()
 }
 
 // Registry follows the daemons of the fleet and announces this one.
--- a/feed/source.go
+++ b/feed/source.go
@@ -136,16 +136,24 @@
 	s.log.WithField("source", name).Info("source of the view changed")
 }
 
+// takeReply takes what another daemon gave. Servers and daemons are taken only
+// from one whose view is newer, for an older one would bring back what is gone.
 func (s *Service) takeReply(now time.Time, reply FollowReply) {
+	fresh := now.Add(-reply.Age)
+	newer := fresh.After(s.View().FreshAt)
 	s.apply(func(state *state) bool {
 		changed := state.takeConfig(reply.Config)
+		if !newer {
+			return changed
+		}
 		changed = state.takeServers(fromWire(now, reply.Servers), reply.ServersComplete) || changed
 		changed = state.takeDaemons(reply.Daemons, reply.DaemonsComplete) || changed
-		if fresh := now.Add(-reply.Age); fresh.After(state.freshAt) {
-			state.freshAt = fresh
-		}
+		state.freshAt = fresh
 		return changed
 	})
+	if !newer {
+		return
+	}
 	s.followed.have = FollowRequest{
 		Incarnation: reply.Incarnation,
 		Servers:     reply.ServersRev,
