Rank readers by capacity, follow in a tree, compare tables by sum

Ruled out: slow answers of the store (the churn went on long after them). Change: ranks follow processor and link; eight followers a daemon; whole tables are sent only when their sums differ; only granted requests count for the budget; servers held after an outage are kept by those alone who have them.

--- a/choose/pool.go
+++ b/choose/pool.go
@@ -93,9 +93,7 @@
 
 // Choose returns the server for an attempt.
 func (p *Pool) Choose(now time.Time, ask Ask) Decision {
-	if !ask.Repeat {
-		p.budget.Request(now)
-	} else if !p.budget.Take(now) {
+	if ask.Repeat && !p.budget.Take(now) {
 		return Refused{Reason: ReasonBudget}
 	}
 	best := p.pick(now, ask)
@@ -105,6 +103,9 @@
 		}
 		return p.refusal(now, ask)
 	}
+	if !ask.Repeat {
+		p.budget.Request(now)
+	}
 	probe := ask.Probe && best.belief.now(now, p.share) > unsureBad
 	best.attempts = append(best.attempts, attempt{
 		daemon:  ask.Daemon,
--- a/config/front.go
+++ b/config/front.go
@@ -16,6 +16,7 @@
 	Name       string      `yaml:"name"`
 	Zone       string      `yaml:"zone"`
 	Cores      float64     `yaml:"cores"`
+	LinkMbps   float64     `yaml:"link_mbps"`
 	FirstStart bool        `yaml:"first_start"`
 	Listen     FrontListen `yaml:"listen"`
 	Store      Store       `yaml:"store"`
@@ -72,17 +73,19 @@
 	defaultLinesASecond  = 200
 	defaultStoreTimeout  = 700 * time.Millisecond
 	defaultCores         = 1
+	defaultLinkMbps      = 1000
 	defaultFrontLogLevel = "info"
 )
 
 // FrontDefaults returns the settings that hold where a file gives none.
 func FrontDefaults() Front {
 	return Front{
-		Cores:   defaultCores,
-		Store:   Store{Timeout: defaultStoreTimeout, DrainDue: defaultDrainDue},
-		Retries: Retries{Ratio: defaultRetryRatio, Window: defaultRetryWindow, Slack: defaultRetrySlack},
-		Stop:    FrontStop{BalancerLag: defaultFrontLag, Limit: defaultFrontLimit},
-		Logs:    FrontLogs{Format: "json", Level: defaultFrontLogLevel, LinesPerSecond: defaultLinesASecond},
+		Cores:    defaultCores,
+		LinkMbps: defaultLinkMbps,
+		Store:    Store{Timeout: defaultStoreTimeout, DrainDue: defaultDrainDue},
+		Retries:  Retries{Ratio: defaultRetryRatio, Window: defaultRetryWindow, Slack: defaultRetrySlack},
+		Stop:     FrontStop{BalancerLag: defaultFrontLag, Limit: defaultFrontLimit},
+		Logs:     FrontLogs{Format: "json", Level: defaultFrontLogLevel, LinesPerSecond: defaultLinesASecond},
 	}
 }
 
@@ -117,6 +120,9 @@
 	if settings.Cores <= 0 {
 		findings.Add(document.Place("cores"), "cores %v is not above 0", settings.Cores)
 	}
+	if settings.LinkMbps <= 0 {
+		findings.Add(document.Place("link_mbps"), "link_mbps %v is not above 0", settings.LinkMbps)
+	}
 	if settings.Logs.LinesPerSecond <= 0 {
 		findings.Add(document.Place("logs", "lines_per_second"), "lines_per_second is not above 0")
 	}
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -31,9 +31,9 @@
 	// knows is old.
 	intervalPart = 4
 	staleParts   = 2
-	// slackPart keeps the other half of the retry slack for a second broker that
-	// decides for the same service for a while.
-	slackPart = 0.5
+	// slackPart leaves the rest of the retry slack to brokers that follow one another
+	// within the window and do not know what was spent.
+	slackPart = 0.3
 )
 
 // Surroundings are what a front daemon needs of the platform: the parts of its
@@ -102,7 +102,8 @@
 
 func (f *Front) newFeed(around Surroundings, peers *wire.Peers, seed uint64) *feed.Service {
 	self := topo.Daemon{
-		Name: f.settings.Name, Zone: f.settings.Zone, Address: f.settings.Listen.Daemons, Cores: f.settings.Cores,
+		Name: f.settings.Name, Zone: f.settings.Zone, Address: f.settings.Listen.Daemons,
+		Capacity: topo.Capacity(f.settings.Cores, f.settings.LinkMbps),
 	}
 	return feed.New(self, around.Sources, peers, feed.Settings{
 		Interval:   f.settings.Store.DrainDue / intervalPart,
--- a/feed/message.go
+++ b/feed/message.go
@@ -13,12 +13,14 @@
 )
 
 // FollowRequest says what the follower has already: revisions count for the
-// incarnation of the followed process that gave them.
+// incarnation of the followed process that gave them, sums for any.
 type FollowRequest struct {
 	Incarnation uint64
 	Config      uint64
 	Servers     uint64
+	ServersSum  uint64
 	Daemons     uint64
+	DaemonsSum  uint64
 }
 
 // FollowReply brings what is newer. Age is how long ago the store confirmed it.
@@ -37,29 +39,35 @@
 }
 
 // ServerChange is a change of a server with the rest of its warm-up, since a
-// time of one process means nothing to another.
+// time of one process means nothing to another. Held says that the server's
+// entry is missing and may come back, so that only those keep it who have it.
 type ServerChange struct {
 	Change   topo.Change[topo.Server]
 	ColdLeft time.Duration
+	Held     bool
 }
 
-func toWire(now time.Time, changes []topo.Change[topo.Server]) []ServerChange {
+func toWire(now time.Time, changes []topo.Change[topo.Server], held map[string]struct{}) []ServerChange {
 	sent := make([]ServerChange, len(changes))
 	for i, change := range changes {
 		sent[i].ColdLeft = max(change.Value.ColdUntil.Sub(now), 0)
 		change.Value.ColdUntil = time.Time{}
 		sent[i].Change = change
+		_, sent[i].Held = held[change.Key]
 	}
 	return sent
 }
 
-func fromWire(now time.Time, sent []ServerChange) []topo.Change[topo.Server] {
-	changes := make([]topo.Change[topo.Server], len(sent))
-	for i, item := range sent {
-		changes[i] = item.Change
+func fromWire(now time.Time, sent []ServerChange, known *topo.Replica[topo.Server]) []topo.Change[topo.Server] {
+	changes := make([]topo.Change[topo.Server], 0, len(sent))
+	for _, item := range sent {
+		if _, has := known.Get(item.Change.Key); item.Held && !has {
+			continue
+		}
 		if item.ColdLeft > 0 {
-			changes[i].Value.ColdUntil = now.Add(item.ColdLeft)
+			item.Change.Value.ColdUntil = now.Add(item.ColdLeft)
 		}
+		changes = append(changes, item.Change)
 	}
 	return changes
 }
--- a/feed/read.go
+++ b/feed/read.go
@@ -16,6 +16,9 @@
 	// may hold a call for the configuration. That is short, for a call that is held
 	// while a record is stored may not see it.
 	configParts = 2
+	// lateRetry is the wait after a failed read of a daemon that others read
+	// for.
+	lateRetry = 1500 * time.Millisecond
 )
 
 // read reads the store for as long as this daemon is the first usable source of
@@ -63,13 +66,32 @@
 		if daemon.Name == s.self.Name || i == sourceTries {
 			return true
 		}
-		if s.peers.Usable(daemon.Address) && !s.avoids(now, daemon.Name) {
+		if s.usable(now, daemon) {
 			return false
 		}
 	}
 	return true
 }
 
+// readOnce reads servers and configuration once, for a daemon whose sources are
+// all old or lost.
+func (s *Service) readOnce(ctx context.Context) {
+	if s.followed.name != s.self.Name {
+		s.setSource(s.self.Name)
+	}
+	s.sources.Servers.Relist()
+	if !s.readServers(ctx) {
+		pause(ctx, s.jitter(lateRetry))
+		return
+	}
+	changes, complete, err := s.sources.Configs.Poll(ctx, 0)
+	if err != nil {
+		s.log.WithError(err).Warn("configuration could not be read")
+		return
+	}
+	s.takeConfigs(changes, complete)
+}
+
 // readServers reads the servers once and reports whether the store answered.
 func (s *Service) readServers(ctx context.Context) bool {
 	changes, complete, err := s.sources.Servers.Poll(ctx, 0)
@@ -82,14 +104,14 @@
 		return false
 	}
 	known := s.View().FreshAt
-	if !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
-		s.lapses.returned(now)
-	}
 	if s.storeOut {
 		s.log.WithField("age", now.Sub(known).String()).Info("store regained")
 		s.storeOut = false
 	}
 	s.apply(func(state *state) bool {
+		if !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
+			s.lapses.returned(now)
+		}
 		state.freshAt = now
 		held, whole := s.lapses.hold(now, state.servers, changes, complete)
 		state.serversKnown = state.serversKnown || complete
--- a/feed/receiver.go
+++ b/feed/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dandeliondoor/topo"
 	"dandeliondoor/wire"
 )
 
@@ -61,14 +62,13 @@
 	if !reply.Known {
 		return true
 	}
-	if request.Incarnation != s.incarnation {
-		request.Servers, request.Daemons = unknownRev, unknownRev
-	}
+	request.Servers = knownRev(s.incarnation, request.Incarnation, state.servers, request.Servers, request.ServersSum)
+	request.Daemons = knownRev(s.incarnation, request.Incarnation, state.daemons, request.Daemons, request.DaemonsSum)
 	if state.config.Version > request.Config {
 		reply.Config = state.config
 	}
 	servers, complete := state.servers.Since(request.Servers)
-	reply.Servers, reply.ServersComplete = toWire(now, servers), complete
+	reply.Servers, reply.ServersComplete = toWire(now, servers, s.lapses.removed), complete
 	reply.Daemons, reply.DaemonsComplete = state.daemons.Since(request.Daemons)
 	return reply.Leaving || reply.Config != nil || complete || len(servers) > 0 ||
 		reply.DaemonsComplete || len(reply.Daemons) > 0 || reply.Age > s.settings.StaleAfter
@@ -76,3 +76,16 @@
 
 // unknownRev is higher than any revision, so that the whole table is sent.
 const unknownRev = ^uint64(0)
+
+// knownRev returns the revision up to which a follower has a table: the one that
+// it got from here, the newest if it holds the same, and else none.
+func knownRev[V any](incarnation, followed uint64, table *topo.Replica[V], rev, sum uint64) uint64 {
+	switch {
+	case sum == table.Sum():
+		return table.Rev()
+	case incarnation == followed:
+		return rev
+	default:
+		return unknownRev
+	}
+}
--- a/feed/source.go
+++ b/feed/source.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dandeliondoor/kernel"
-	"dandeliondoor/rank"
 	"dandeliondoor/topo"
 	"dandeliondoor/wire"
 )
@@ -17,20 +17,31 @@
 	// retryPause and maxRetryPause bound the wait after a failed call.
 	retryPause    = 200 * time.Millisecond
 	maxRetryPause = 1200 * time.Millisecond
-	// sourceTries is how many daemons of the zone are tried before a daemon
-	// that ranks behind them reads for itself.
+	// sourceTries is how many daemons of the zone read the store for the others
+	// when those before them cannot.
 	sourceTries = 4
-	// lateReader is the age from which any daemon reads for itself.
-	lateReader = 3 * time.Second
+	// fanOut is how many daemons follow one other.
+	fanOut = 8
+	// rankPatience is how much later each further rank reads for itself when no
+	// source is fresh, up to maxPatientRank.
+	rankPatience   = 25 * time.Millisecond
+	maxPatientRank = 20
+	// idlePause is the wait after a reply that brought nothing newer.
+	idlePause = 50 * time.Millisecond
 	// avoidTime is how long a daemon is not followed whose view was old.
 	avoidTime = 2 * time.Second
 )
 
-// run announces the daemon and then follows or reads until the context ends.
+// run lists the daemons, announces this one unless it stands there already, and
+// then follows or reads until the context ends.
 func (s *Service) run(ctx context.Context) error {
+	if !s.settings.First {
+		s.listDaemons(ctx)
+	}
 	announced := kernel.Run(ctx, s.announce)
 	if s.settings.First {
 		pause(ctx, settleTime)
+		s.listDaemons(ctx)
 	}
 	for ctx.Err() == nil {
 		s.step(ctx)
@@ -38,10 +49,21 @@
 	return <-announced
 }
 
+// listDaemons reads the list of daemons once; a reader brings it later if the
+// store does not answer.
+func (s *Service) listDaemons(ctx context.Context) {
+	changes, complete, err := s.sources.Daemons.Poll(ctx, 0)
+	if err != nil {
+		s.log.WithError(err).Warn("daemons could not be listed")
+		return
+	}
+	s.takeDaemons(changes, complete)
+}
+
 // announce stores this daemon's record, again and again until it is there.
 func (s *Service) announce(ctx context.Context) error {
 	for wait := retryPause; ctx.Err() == nil; wait = min(2*wait, maxRetryPause) {
-		if s.leaving.Load() {
+		if s.leaving.Load() || slices.Contains(s.View().Daemons, s.self) {
 			return nil
 		}
 		err := s.sources.Daemons.Announce(ctx, s.self)
@@ -54,27 +76,38 @@
 	return nil
 }
 
-// step takes the view from the first source of the zone that is fresh.
+// step takes the view from the first good source of the zone, or reads the store
+// for itself.
 func (s *Service) step(ctx context.Context) {
-	tried := 0
-	for _, daemon := range s.order() {
-		if daemon.Name == s.self.Name {
-			s.read(ctx)
-			return
-		}
-		if tried == sourceTries || !s.peers.Usable(daemon.Address) {
-			continue
-		}
-		tried++
-		if !s.avoids(time.Now(), daemon.Name) && s.follow(ctx, daemon) {
+	order := s.order()
+	at := slices.IndexFunc(order, func(d topo.Daemon) bool { return d.Name == s.self.Name })
+	for _, daemon := range sourcesOf(order, at) {
+		if s.usable(time.Now(), daemon) && s.follow(ctx, daemon) {
 			return
 		}
 	}
-	if age := time.Since(s.View().FreshAt); tried == 0 || age > lateReader {
+	switch {
+	case at < sourceTries:
 		s.read(ctx)
-		return
+	case time.Since(s.View().FreshAt) > s.settings.StaleAfter+rankPatience*time.Duration(min(at, maxPatientRank)):
+		s.readOnce(ctx)
+	default:
+		pause(ctx, s.jitter(retryPause))
+	}
+}
+
+// sourcesOf returns whom the daemon at a rank follows: its parent in a tree, and
+// then the first of the zone.
+func sourcesOf(order []topo.Daemon, at int) []topo.Daemon {
+	if at <= sourceTries {
+		return order[:at]
 	}
-	pause(ctx, s.jitter(retryPause))
+	return append([]topo.Daemon{order[(at-1)/fanOut]}, order[:sourceTries]...)
+}
+
+// usable reports whether a daemon can be followed.
+func (s *Service) usable(now time.Time, daemon topo.Daemon) bool {
+	return s.peers.Usable(daemon.Address) && !s.avoids(now, daemon.Name)
 }
 
 // avoids reports whether a daemon's view was old a short while ago.
@@ -84,19 +117,13 @@
 
 // order returns the daemons of this zone by rank, this one included.
 func (s *Service) order() []topo.Daemon {
-	byName := map[string]topo.Daemon{s.self.Name: s.self}
-	names := []string{s.self.Name}
+	daemons := []topo.Daemon{s.self}
 	for _, daemon := range s.View().Daemons {
 		if daemon.Zone == s.self.Zone && daemon.Name != s.self.Name {
-			names = append(names, daemon.Name)
-			byName[daemon.Name] = daemon
+			daemons = append(daemons, daemon)
 		}
 	}
-	ordered := make([]topo.Daemon, 0, len(names))
-	for _, name := range rank.Order(receiverName+"/"+s.self.Zone, names) {
-		ordered = append(ordered, byName[name])
-	}
-	return ordered
+	return topo.RankDaemons(receiverName+"/"+s.self.Zone, daemons)
 }
 
 // followWait is how long a followed daemon holds a call; followTimeout bounds
@@ -118,8 +145,8 @@
 	if err == nil && (!reply.Known || reply.Leaving || reply.Age > s.settings.StaleAfter) {
 		err = errStale
 	}
-	if reply.Known {
-		s.takeReply(now, reply)
+	if reply.Known && !s.takeReply(now, reply) {
+		pause(ctx, idlePause)
 	}
 	if err != nil {
 		s.avoided[daemon.Name] = now.Add(avoidTime)
@@ -132,13 +159,20 @@
 func (s *Service) setSource(name string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.followed = followedSource{name: name}
+	s.followed = followedSource{name: name, have: FollowRequest{
+		ServersSum: s.state.servers.Sum(),
+		DaemonsSum: s.state.daemons.Sum(),
+	}}
+	if s.state.config != nil {
+		s.followed.have.Config = s.state.config.Version
+	}
 	s.log.WithField("source", name).Info("source of the view changed")
 }
 
 // takeReply takes what another daemon gave. Servers and daemons are taken only
-// from one whose view is newer, for an older one would bring back what is gone.
-func (s *Service) takeReply(now time.Time, reply FollowReply) {
+// from one whose view is newer, for an older one would bring back what is gone;
+// takeReply reports whether it is.
+func (s *Service) takeReply(now time.Time, reply FollowReply) bool {
 	fresh := now.Add(-reply.Age)
 	newer := fresh.After(s.View().FreshAt)
 	s.apply(func(state *state) bool {
@@ -146,22 +180,25 @@
 		if !newer {
 			return changed
 		}
-		changed = state.takeServers(fromWire(now, reply.Servers), reply.ServersComplete) || changed
+		changed = state.takeServers(fromWire(now, reply.Servers, state.servers), reply.ServersComplete) || changed
 		changed = state.takeDaemons(reply.Daemons, reply.DaemonsComplete) || changed
 		state.freshAt = fresh
 		return changed
 	})
-	if !newer {
-		return
-	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.followed.have = FollowRequest{
-		Incarnation: reply.Incarnation,
-		Servers:     reply.ServersRev,
-		Daemons:     reply.DaemonsRev,
+		ServersSum: s.state.servers.Sum(),
+		DaemonsSum: s.state.daemons.Sum(),
+	}
+	if s.state.config != nil {
+		s.followed.have.Config = s.state.config.Version
 	}
-	if table := s.View().Table; table != nil {
-		s.followed.have.Config = table.Config.Version
+	if newer {
+		s.followed.have.Incarnation = reply.Incarnation
+		s.followed.have.Servers, s.followed.have.Daemons = reply.ServersRev, reply.DaemonsRev
 	}
+	return newer
 }
 
 // jitter returns a wait of a half to one and a half of the given one.
--- a/feed/view.go
+++ b/feed/view.go
@@ -1,10 +1,13 @@
 package feed
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dandeliondoor/topo"
 )
 
@@ -30,7 +33,18 @@
 }
 
 func newState() *state {
-	return &state{servers: topo.NewReplica[topo.Server](), daemons: topo.NewReplica[topo.Daemon]()}
+	return &state{servers: topo.NewReplica(hashServer), daemons: topo.NewReplica(hashDaemon)}
+}
+
+// hashServer hashes what Same compares.
+func hashServer(id string, server topo.Server) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(
+		id, server.Service, server.Address, server.Zone, server.Slots, server.Draining, server.Born,
+	))
+}
+
+func hashDaemon(name string, daemon topo.Daemon) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(name, daemon.Zone, daemon.Address, daemon.Capacity))
 }
 
 // takeConfig takes a configuration unless it is older than the one in force.
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +18,33 @@
 	return digest.Sum64()
 }
 
+// Weighted returns the members by falling rank for a key, where the chance of a
+// member to rank first follows its weight.
+func Weighted[T any](key string, members []T, name func(member T) string, weight func(member T) float64) []T {
+	scores := make([]float64, len(members))
+	order := make([]int, len(members))
+	for i, member := range members {
+		draw := (float64(Score(key, name(member))>>drawShift) + 1) / (1 << (64 - drawShift))
+		scores[i] = math.Log(draw) / max(weight(member), minWeight)
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(name(members[a]), name(members[b])))
+	})
+	ranked := make([]T, len(members))
+	for i, at := range order {
+		ranked[i] = members[at]
+	}
+	return ranked
+}
+
+const (
+	// drawShift leaves as many bits of a score as a float64 holds.
+	drawShift = 11
+	// minWeight keeps a member without a weight in the order.
+	minWeight = 1e-6
+)
+
 type scored struct {
 	member string
 	score  uint64
--- a/slots/client.go
+++ b/slots/client.go
@@ -10,7 +10,6 @@
 
 	"dandeliondoor/choose"
 	"dandeliondoor/feed"
-	"dandeliondoor/rank"
 	"dandeliondoor/topo"
 	"dandeliondoor/wire"
 )
@@ -149,17 +148,8 @@
 }
 
 func rankBrokers(service string, daemons []topo.Daemon) []topo.Daemon {
-	names := make([]string, len(daemons))
-	byName := make(map[string]topo.Daemon, len(daemons))
-	for i, daemon := range daemons {
-		names[i] = daemon.Name
-		byName[daemon.Name] = daemon
-	}
-	var ranked []topo.Daemon
-	for _, name := range rank.Top(service, names, min(len(names), brokerRanks)) {
-		ranked = append(ranked, byName[name])
-	}
-	return ranked
+	ranked := topo.RankDaemons(service, daemons)
+	return ranked[:min(len(ranked), brokerRanks)]
 }
 
 func toReply(decision choose.Decision) AskReply {
--- a/topo/replica.go
+++ b/topo/replica.go
@@ -14,16 +14,30 @@
 type Replica[V any] struct {
 	rev     uint64
 	floor   uint64
+	sum     uint64
+	hash    func(key string, value V) uint64
 	records map[string]Change[V]
 }
 
-// NewReplica returns an empty table.
-func NewReplica[V any]() *Replica[V] {
-	return &Replica[V]{records: make(map[string]Change[V])}
+// NewReplica returns an empty table; hash tells records apart.
+func NewReplica[V any](hash func(key string, value V) uint64) *Replica[V] {
+	return &Replica[V]{records: make(map[string]Change[V]), hash: hash}
+}
+
+// Sum returns a value that is the same for tables that hold the same.
+func (r *Replica[V]) Sum() uint64 { return r.sum }
+
+// unsum takes the record of a key out of the sum.
+func (r *Replica[V]) unsum(key string) {
+	if found, known := r.records[key]; known && !found.Gone {
+		r.sum -= r.hash(key, found.Value)
+	}
 }
 
 // Put stores a value.
 func (r *Replica[V]) Put(key string, value V) {
+	r.unsum(key)
+	r.sum += r.hash(key, value)
 	r.rev++
 	r.records[key] = Change[V]{Key: key, Value: value, Rev: r.rev}
 }
@@ -33,6 +47,7 @@
 	if found, known := r.records[key]; !known || found.Gone {
 		return false
 	}
+	r.unsum(key)
 	r.rev++
 	r.records[key] = Change[V]{Key: key, Gone: true, Rev: r.rev}
 	return true
--- a/topo/server.go
+++ b/topo/server.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"dandeliondoor/rank"
 )
 
 // Server is one running upstream. ID is unique among those that run; Born is
@@ -27,10 +29,31 @@
 	return s == other
 }
 
-// Daemon is one process of the fleet that other daemons can call.
+// Daemon is one process of the fleet that other daemons can call. Capacity is how
+// much work for others it can take, 1 for a usual VM.
 type Daemon struct {
-	Name    string
-	Zone    string
-	Address netip.AddrPort
-	Cores   float64
+	Name     string
+	Zone     string
+	Address  netip.AddrPort
+	Capacity float64
+}
+
+// What a usual VM has.
+const (
+	usualCores = 0.32
+	usualLink  = 100
+)
+
+// Capacity returns how much work for others a VM can take, by the scarcer of its
+// processor, in cores, and its link, in Mbit/s.
+func Capacity(cores, link float64) float64 {
+	return min(cores/usualCores, link/usualLink)
+}
+
+// RankDaemons returns the daemons by falling rank for a key; those that can take
+// more work rank higher more often.
+func RankDaemons(key string, daemons []Daemon) []Daemon {
+	return rank.Weighted(key, daemons,
+		func(d Daemon) string { return d.Name },
+		func(d Daemon) float64 { return d.Capacity * d.Capacity })
 }
