Let brokers say that they know no server; follow seeds without a list

Ruled out: an empty list in the store (other daemons read it meanwhile). Change: such a broker answers that it cannot decide; a daemon without a list follows the seeds of its settings; the limit of a planned stop covers all of it.

--- a/choose/pool.go
+++ b/choose/pool.go
@@ -54,6 +54,7 @@
 	share   float64
 	budget  *Budget
 	random  *rand.Rand
+	failing failureRate
 }
 
 // NewPool returns a pool without servers.
@@ -114,6 +115,7 @@
 		since:   now,
 		expires: now.Add(ask.Left + expiryMargin),
 		probe:   probe,
+		last:    !ask.Probe,
 	})
 	best.lastGiven, best.lastBy = now, ask.Daemon
 	return Granted{Server: best.ID, Born: best.Born, Patience: p.patience(now, ask, best)}
@@ -135,6 +137,9 @@
 			candidates = append(candidates, s)
 		}
 	}
+	if s := p.neglected(now, candidates); s != nil {
+		return s
+	}
 	if ask.Probe && !ask.Repeat {
 		if s := p.probeTarget(now, ask, candidates); s != nil {
 			return s
@@ -276,6 +281,7 @@
 	given, found := s.take(release.Daemon, release.Ticket)
 	s.report(now, release.Running, release.Waiting)
 	p.learn(now, s, release, given.route, found)
+	p.failing.note(now, release.Outcome, given.last)
 }
 
 func (p *Pool) learn(now time.Time, s *server, release Release, route string, found bool) {
--- a/choose/server.go
+++ b/choose/server.go
@@ -25,7 +25,8 @@
 	overdueSound = 0.04
 )
 
-// attempt is work that a server was given.
+// attempt is work that a server was given. Probe says that it is to find out
+// about the server, last that no other attempt can follow.
 type attempt struct {
 	daemon  string
 	ticket  uint64
@@ -33,6 +34,7 @@
 	since   time.Time
 	expires time.Time
 	probe   bool
+	last    bool
 }
 
 // server is what is known of one server.
--- a/config/front.go
+++ b/config/front.go
@@ -11,18 +11,20 @@
 )
 
 // Front are the settings of a daemon that takes its configuration and its
-// servers from the platform's store.
+// servers from the platform's store. Seeds are the daemons' ports of some other
+// daemons, which may be out of date.
 type Front struct {
-	Name       string      `yaml:"name"`
-	Zone       string      `yaml:"zone"`
-	Cores      float64     `yaml:"cores"`
-	LinkMbps   float64     `yaml:"link_mbps"`
-	FirstStart bool        `yaml:"first_start"`
-	Listen     FrontListen `yaml:"listen"`
-	Store      Store       `yaml:"store"`
-	Retries    Retries     `yaml:"retries"`
-	Stop       FrontStop   `yaml:"stop"`
-	Logs       FrontLogs   `yaml:"logs"`
+	Name       string           `yaml:"name"`
+	Zone       string           `yaml:"zone"`
+	Cores      float64          `yaml:"cores"`
+	LinkMbps   float64          `yaml:"link_mbps"`
+	FirstStart bool             `yaml:"first_start"`
+	Seeds      []netip.AddrPort `yaml:"seeds"`
+	Listen     FrontListen      `yaml:"listen"`
+	Store      Store            `yaml:"store"`
+	Retries    Retries          `yaml:"retries"`
+	Stop       FrontStop        `yaml:"stop"`
+	Logs       FrontLogs        `yaml:"logs"`
 }
 
 // FrontListen are the addresses of the daemon's ports.
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -34,6 +34,9 @@
 	// slackPart leaves the rest of the retry slack to brokers that follow one another
 	// within the window and do not know what was spent.
 	slackPart = 0.3
+	// stopMargin is what is left of the limit of a planned stop for the end of
+	// the process.
+	stopMargin = 400 * time.Millisecond
 )
 
 // Surroundings are what a front daemon needs of the platform: the parts of its
@@ -77,7 +80,7 @@
 	brokers := slots.NewService(broker)
 	client := slots.NewClient(f.feed, peers, broker, alone, logger.Part(slots.Name))
 	handler := front.NewHandler(f.feed, client, around.Dialect, registry, logger.Part(front.Name))
-	f.front = front.NewService(ports[0], handler, front.Stop{Lag: settings.Stop.BalancerLag, Limit: settings.Stop.Limit}, logger.Part(front.Name))
+	f.front = front.NewService(ports[0], handler, settings.Stop.BalancerLag, logger.Part(front.Name))
 	operators, err := admin.New(ports[3], registry, logger, f.Ready, f.status)
 	if err != nil {
 		return nil, err
@@ -109,6 +112,7 @@
 		Interval:   f.settings.Store.DrainDue / intervalPart,
 		StaleAfter: f.settings.Store.DrainDue / staleParts,
 		First:      f.settings.FirstStart,
+		Seeds:      f.settings.Seeds,
 		Seed:       seed,
 	}, f.logger.Part(feed.Name))
 }
@@ -135,7 +139,7 @@
 // Stop finishes what is in flight within the settings' limit and ends all
 // services.
 func (f *Front) Stop(ctx context.Context) error {
-	limit, cancel := context.WithTimeout(ctx, f.settings.Stop.Limit)
+	limit, cancel := context.WithTimeout(ctx, f.settings.Stop.Limit-stopMargin)
 	defer cancel()
 	return errors.Join(f.kernel.Drain(limit), f.kernel.Stop())
 }
--- a/feed/service.go
+++ b/feed/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,11 +43,13 @@
 
 // Settings are the times of the feed. Interval is how often a reader reads the
 // servers, StaleAfter the age from which a follower looks for another source.
-// First says that the whole fleet starts for the first time.
+// First says that the whole fleet starts for the first time. Seeds are daemons
+// to follow while no other one is known.
 type Settings struct {
 	Interval   time.Duration
 	StaleAfter time.Duration
 	First      bool
+	Seeds      []netip.AddrPort
 	Seed       uint64
 }
 
--- a/feed/source.go
+++ b/feed/source.go
@@ -35,7 +35,7 @@
 // run lists the daemons, announces this one unless it stands there already, and
 // then follows or reads until the context ends.
 func (s *Service) run(ctx context.Context) error {
-	if !s.settings.First {
+	if !s.settings.First && !s.followSeeds(ctx) {
 		s.listDaemons(ctx)
 	}
 	announced := kernel.Run(ctx, s.announce)
@@ -86,6 +86,9 @@
 			return
 		}
 	}
+	if !s.View().Ready() && s.followSeeds(ctx) {
+		return
+	}
 	switch {
 	case at < sourceTries:
 		s.read(ctx)
@@ -96,6 +99,17 @@
 	}
 }
 
+// followSeeds follows the first good seed, for a daemon that knows no other one.
+func (s *Service) followSeeds(ctx context.Context) bool {
+	for _, seed := range s.settings.Seeds {
+		daemon := topo.Daemon{Name: seed.String(), Zone: s.self.Zone, Address: seed}
+		if seed != s.self.Address && s.usable(time.Now(), daemon) && s.follow(ctx, daemon) {
+			return true
+		}
+	}
+	return false
+}
+
 // sourcesOf returns whom the daemon at a rank follows: its parent in a tree, and
 // then the first of the zone.
 func sourcesOf(order []topo.Daemon, at int) []topo.Daemon {
--- a/front/service.go
+++ b/front/service.go
@@ -17,27 +17,14 @@
 // Name is the name under which other services find the callers' port.
 const Name = "front"
 
-// The times of the callers' port.
-const (
-	// sweepInterval is how often kept connections are looked through.
-	sweepInterval = 500 * time.Millisecond
-	// stopMargin is what is left of the limit of a planned stop for the end of
-	// the process.
-	stopMargin = 250 * time.Millisecond
-)
-
-// Stop bounds a planned stop: for Lag the balancer may still send new
-// connections, and within Limit the process has to end.
-type Stop struct {
-	Lag   time.Duration
-	Limit time.Duration
-}
+// sweepInterval is how often kept connections are looked through.
+const sweepInterval = 500 * time.Millisecond
 
 // Service serves callers on one listener and drains without cutting a request.
 type Service struct {
 	handler  *Handler
 	server   *httpd.Server
-	stop     Stop
+	lag      time.Duration
 	log      *logrus.Entry
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -50,9 +37,10 @@
 	_ kernel.Dumper  = &Service{}
 )
 
-// NewService returns a service on a listener.
-func NewService(listener net.Listener, handler *Handler, stop Stop, log *logrus.Entry) *Service {
-	s := &Service{handler: handler, stop: stop, log: log}
+// NewService returns a service on a listener; lag is how long the balancer sends
+// new connections after the daemon is no longer ready.
+func NewService(listener net.Listener, handler *Handler, lag time.Duration, log *logrus.Entry) *Service {
+	s := &Service{handler: handler, lag: lag, log: log}
 	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve), httpd.WithEagerReads())
 	return s
 }
@@ -98,9 +86,7 @@
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.log.WithField("in_flight", s.inFlight.Load()).Info("draining; no longer ready")
-	ctx, cancel := context.WithTimeout(ctx, s.stop.Limit-stopMargin)
-	defer cancel()
-	wait(ctx, s.stop.Lag)
+	wait(ctx, s.lag)
 	s.refusing.Store(true)
 	s.log.WithField("in_flight", s.inFlight.Load()).Info("taking no more requests")
 	err := s.server.Shutdown(ctx)
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// Knows reports whether any server of a service is known here.
+func (b *Broker) Knows(service string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.view.Services[service]) > 0
+}
+
 // Ask decides on an attempt.
 func (b *Broker) Ask(now time.Time, request AskRequest) choose.Decision {
 	b.mutex.Lock()
--- a/slots/client.go
+++ b/slots/client.go
@@ -66,7 +66,7 @@
 		}
 		asked++
 		reply, err := c.call(ctx, daemon, request)
-		if err == nil && !reply.Leaving {
+		if err == nil && !reply.Unable {
 			return c.lease(request, reply, daemon, false)
 		}
 		if ctx.Err() != nil {
--- a/slots/message.go
+++ b/slots/message.go
@@ -20,11 +20,12 @@
 	Ask     choose.Ask
 }
 
-// AskReply holds a decision, or says that the daemon decides no longer.
+// AskReply holds a decision, or says that the daemon cannot decide: it is
+// stopping, or knows no server of the service.
 type AskReply struct {
 	Granted *choose.Granted
 	Refused *choose.Refused
-	Leaving bool
+	Unable  bool
 }
 
 // ReleaseRequest ends an attempt.
--- a/slots/service.go
+++ b/slots/service.go
@@ -53,8 +53,8 @@
 
 // Ask decides on an attempt of another daemon.
 func (r *receiver) Ask(request AskRequest, reply *AskReply) error {
-	if r.service.leaving.Load() {
-		reply.Leaving = true
+	if r.service.leaving.Load() || !r.service.broker.Knows(request.Service) {
+		reply.Unable = true
 		return nil
 	}
 	*reply = toReply(r.service.broker.Ask(time.Now(), request))
