Follow lower ranks while the store is out; refuse sources that follow back

Change: a daemon without the store follows any fresh daemon of its zone; each reply names the daemons through which it came, and one that holds the follower is refused; held servers stay marked down the tree.

--- a/feed/lapse.go
+++ b/feed/lapse.go
@@ -20,6 +20,18 @@
 // returned says that the store answers again after an outage.
 func (l *lapses) returned(now time.Time) { l.until = now.Add(lapseGrace) }
 
+// note takes from another daemon whether a server's entry is missing.
+func (l *lapses) note(key string, missing bool) {
+	switch {
+	case !missing:
+		delete(l.removed, key)
+	case l.removed == nil:
+		l.removed = map[string]struct{}{key: {}}
+	default:
+		l.removed[key] = struct{}{}
+	}
+}
+
 // hold takes the removals out of a list of changes while they have to wait, and
 // returns those whose time is over.
 func (l *lapses) hold(
--- a/feed/message.go
+++ b/feed/message.go
@@ -13,8 +13,10 @@
 )
 
 // FollowRequest says what the follower has already: revisions count for the
-// incarnation of the followed process that gave them, sums for any.
+// incarnation of the followed process that gave them, sums for any. Name is the
+// follower's.
 type FollowRequest struct {
+	Name        string
 	Incarnation uint64
 	Config      uint64
 	Servers     uint64
@@ -23,12 +25,15 @@
 	DaemonsSum  uint64
 }
 
-// FollowReply brings what is newer. Age is how long ago the store confirmed it.
+// FollowReply brings what is newer. Age is how long ago the store confirmed it,
+// Path the daemons through which it came, the replying one last. Unfit says that
+// the replying daemon is stopping or gets its view from the follower.
 type FollowReply struct {
 	Incarnation     uint64
 	Age             time.Duration
 	Known           bool
-	Leaving         bool
+	Unfit           bool
+	Path            []string
 	Config          *topo.Config
 	Servers         []ServerChange
 	ServersComplete bool
@@ -58,12 +63,18 @@
 	return sent
 }
 
-func fromWire(now time.Time, sent []ServerChange, known *topo.Replica[topo.Server]) []topo.Change[topo.Server] {
+// fromWire returns the changes of a reply. Held servers that are not known here
+// are left out; the others are noted as held here too.
+func fromWire(
+	now time.Time, sent []ServerChange, known *topo.Replica[topo.Server], held *lapses,
+) []topo.Change[topo.Server] {
 	changes := make([]topo.Change[topo.Server], 0, len(sent))
 	for _, item := range sent {
-		if _, has := known.Get(item.Change.Key); item.Held && !has {
+		_, has := known.Get(item.Change.Key)
+		if item.Held && !has {
 			continue
 		}
+		held.note(item.Change.Key, item.Held)
 		if item.ColdLeft > 0 {
 			item.Change.Value.ColdUntil = now.Add(item.ColdLeft)
 		}
--- a/feed/read.go
+++ b/feed/read.go
@@ -22,13 +22,16 @@
 )
 
 // read reads the store for as long as this daemon is the first usable source of
-// its zone.
+// its zone and the store answers.
 func (s *Service) read(ctx context.Context) {
 	if s.followed.name != s.self.Name {
 		s.setSource(s.self.Name)
 	}
 	// What other daemons gave meanwhile may differ from what was read last.
 	s.sources.Servers.Relist()
+	if !s.readServers(ctx) {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	configs := kernel.Run(ctx, func(ctx context.Context) error {
 		return watch(ctx, s, s.sources.Configs, configParts*s.settings.Interval, s.takeConfigs)
@@ -36,22 +39,11 @@
 	daemons := kernel.Run(ctx, func(ctx context.Context) error {
 		return watch(ctx, s, s.sources.Daemons, daemonsWait, s.takeDaemons)
 	})
-	wait := retryPause
-	for ctx.Err() == nil {
-		next := s.settings.Interval
-		wasOut := s.storeOut
-		if s.readServers(ctx) {
-			wait = retryPause
-		} else {
-			next = s.jitter(wait)
-			wait = min(2*wait, maxRetryPause)
-		}
-		if wasOut && !s.storeOut {
-			// Calls that the store still holds may never be answered.
-			break
-		}
-		pause(ctx, next)
-		if !s.first(time.Now()) {
+	for ctx.Err() == nil && s.first(time.Now()) {
+		pause(ctx, s.settings.Interval)
+		// A call that the store still holds after an outage may never be
+		// answered, so each failure begins anew.
+		if !s.readServers(ctx) {
 			break
 		}
 	}
@@ -81,7 +73,7 @@
 	}
 	s.sources.Servers.Relist()
 	if !s.readServers(ctx) {
-		pause(ctx, s.jitter(lateRetry))
+		s.retryAt = time.Now().Add(lateRetry)
 		return
 	}
 	changes, complete, err := s.sources.Configs.Poll(ctx, 0)
@@ -100,7 +92,10 @@
 		if !s.storeOut && ctx.Err() == nil {
 			s.log.WithError(err).WithField("age", now.Sub(s.View().FreshAt).String()).Warn("store lost; the known servers stay in use")
 			s.storeOut = true
+			s.retryWait = retryPause
 		}
+		s.retryAt = now.Add(s.jitter(s.retryWait))
+		s.retryWait = min(2*s.retryWait, maxRetryPause)
 		return false
 	}
 	known := s.View().FreshAt
@@ -112,7 +107,7 @@
 		if !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
 			s.lapses.returned(now)
 		}
-		state.freshAt = now
+		state.freshAt, state.path = now, nil
 		held, whole := s.lapses.hold(now, state.servers, changes, complete)
 		state.serversKnown = state.serversKnown || complete
 		return state.takeServers(held, whole) || complete
--- a/feed/receiver.go
+++ b/feed/receiver.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"dandeliondoor/topo"
@@ -53,13 +54,14 @@
 	state := s.state
 	*reply = FollowReply{
 		Incarnation: s.incarnation,
-		Leaving:     s.leaving.Load(),
+		Unfit:       s.leaving.Load() || slices.Contains(state.path, request.Name),
+		Path:        append(slices.Clone(state.path), s.self.Name),
 		Known:       state.config != nil && state.serversKnown,
 		Age:         now.Sub(state.freshAt),
 		ServersRev:  state.servers.Rev(),
 		DaemonsRev:  state.daemons.Rev(),
 	}
-	if !reply.Known {
+	if !reply.Known || reply.Unfit {
 		return true
 	}
 	request.Servers = knownRev(s.incarnation, request.Incarnation, state.servers, request.Servers, request.ServersSum)
@@ -70,7 +72,7 @@
 	servers, complete := state.servers.Since(request.Servers)
 	reply.Servers, reply.ServersComplete = toWire(now, servers, s.lapses.removed), complete
 	reply.Daemons, reply.DaemonsComplete = state.daemons.Since(request.Daemons)
-	return reply.Leaving || reply.Config != nil || complete || len(servers) > 0 ||
+	return reply.Config != nil || complete || len(servers) > 0 ||
 		reply.DaemonsComplete || len(reply.Daemons) > 0 || reply.Age > s.settings.StaleAfter
 }
 
--- a/feed/service.go
+++ b/feed/service.go
@@ -74,7 +74,10 @@
 
 	followed followedSource
 	avoided  map[string]time.Time
-	storeOut bool
+
+	storeOut  bool
+	retryAt   time.Time
+	retryWait time.Duration
 }
 
 // followedSource is the daemon that is followed and what it has given.
@@ -199,4 +202,4 @@
 	return state
 }
 
-var errStale = errors.New("what the daemon knows is old")
+var errStale = errors.New("what the daemon knows is old, or came from here")
--- a/feed/source.go
+++ b/feed/source.go
@@ -16,7 +16,7 @@
 	settleTime = 600 * time.Millisecond
 	// retryPause and maxRetryPause bound the wait after a failed call.
 	retryPause    = 200 * time.Millisecond
-	maxRetryPause = 1200 * time.Millisecond
+	maxRetryPause = 800 * time.Millisecond
 	// sourceTries is how many daemons of the zone read the store for the others
 	// when those before them cannot.
 	sourceTries = 4
@@ -81,7 +81,11 @@
 func (s *Service) step(ctx context.Context) {
 	order := s.order()
 	at := slices.IndexFunc(order, func(d topo.Daemon) bool { return d.Name == s.self.Name })
-	for _, daemon := range sourcesOf(order, at) {
+	sources := sourcesOf(order, at)
+	if s.storeOut {
+		sources = append(sources, order[at+1:min(len(order), at+1+sourceTries)]...)
+	}
+	for _, daemon := range sources {
 		if s.usable(time.Now(), daemon) && s.follow(ctx, daemon) {
 			return
 		}
@@ -89,10 +93,14 @@
 	if !s.View().Ready() && s.followSeeds(ctx) {
 		return
 	}
+	now := time.Now()
+	late := now.Sub(s.View().FreshAt) > s.settings.StaleAfter+rankPatience*time.Duration(min(at, maxPatientRank))
 	switch {
+	case s.storeOut && now.Before(s.retryAt):
+		pause(ctx, min(s.retryAt.Sub(now), retryPause))
 	case at < sourceTries:
 		s.read(ctx)
-	case time.Since(s.View().FreshAt) > s.settings.StaleAfter+rankPatience*time.Duration(min(at, maxPatientRank)):
+	case late:
 		s.readOnce(ctx)
 	default:
 		pause(ctx, s.jitter(retryPause))
@@ -114,7 +122,7 @@
 // then the first of the zone.
 func sourcesOf(order []topo.Daemon, at int) []topo.Daemon {
 	if at <= sourceTries {
-		return order[:at]
+		return slices.Clone(order[:at])
 	}
 	return append([]topo.Daemon{order[(at-1)/fanOut]}, order[:sourceTries]...)
 }
@@ -154,12 +162,14 @@
 	}
 	call, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	reply, err := wire.Call[FollowRequest, FollowReply](call, s.peers, daemon.Address, followMethod, s.followed.have)
+	request := s.followed.have
+	request.Name = s.self.Name
+	reply, err := wire.Call[FollowRequest, FollowReply](call, s.peers, daemon.Address, followMethod, request)
 	now := time.Now()
-	if err == nil && (!reply.Known || reply.Leaving || reply.Age > s.settings.StaleAfter) {
+	if err == nil && (!reply.Known || reply.Unfit || reply.Age > s.settings.StaleAfter) {
 		err = errStale
 	}
-	if reply.Known && !s.takeReply(now, reply) {
+	if reply.Known && !reply.Unfit && !s.takeReply(now, reply) {
 		pause(ctx, idlePause)
 	}
 	if err != nil {
@@ -194,9 +204,9 @@
 		if !newer {
 			return changed
 		}
-		changed = state.takeServers(fromWire(now, reply.Servers, state.servers), reply.ServersComplete) || changed
+		changed = state.takeServers(fromWire(now, reply.Servers, state.servers, &s.lapses), reply.ServersComplete) || changed
 		changed = state.takeDaemons(reply.Daemons, reply.DaemonsComplete) || changed
-		state.freshAt = fresh
+		state.freshAt, state.path = fresh, reply.Path
 		return changed
 	})
 	s.mutex.Lock()
--- a/feed/view.go
+++ b/feed/view.go
@@ -23,13 +23,15 @@
 // Ready reports whether requests can be served by the view.
 func (v *View) Ready() bool { return v.Table != nil && v.Servers != nil }
 
-// state collects what the store or another daemon says.
+// state collects what the store or another daemon says. Path are the daemons
+// through which it came, empty for the store.
 type state struct {
 	config       *topo.Config
 	servers      *topo.Replica[topo.Server]
 	daemons      *topo.Replica[topo.Daemon]
 	serversKnown bool
 	freshAt      time.Time
+	path         []string
 }
 
 func newState() *state {
