Hold removals only after calls to the store that failed

Ruled out: a stuck follower (its log shows it reading at 6.0 s). Change: the wait for lapsed entries starts only after a call that failed.

--- a/feed/read.go
+++ b/feed/read.go
@@ -99,12 +99,13 @@
 		return false
 	}
 	known := s.View().FreshAt
-	if s.storeOut {
+	wasOut := s.storeOut
+	if wasOut {
 		s.log.WithField("age", now.Sub(known).String()).Info("store regained")
 		s.storeOut = false
 	}
 	s.apply(func(state *state) bool {
-		if !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
+		if wasOut && !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
 			s.lapses.returned(now)
 		}
 		state.freshAt, state.path = now, nil
