--- a/feed/read.go
+++ b/feed/read.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/kernel"
 	"dandeliondoor/topo"
 )
@@ -48,8 +50,9 @@
 		}
 	}
 	cancel()
-	<-configs
-	<-daemons
+	if err := errors.Join(<-configs, <-daemons); err != nil {
+		s.log.WithError(err).Warn("long polls ended")
+	}
 }
 
 // first reports whether no other daemon of the zone is to be followed.
@@ -88,8 +91,11 @@
 func (s *Service) readServers(ctx context.Context) bool {
 	changes, complete, err := s.sources.Servers.Poll(ctx, 0)
 	now := time.Now()
+	if err != nil && ctx.Err() != nil {
+		return false
+	}
 	if err != nil {
-		if !s.storeOut && ctx.Err() == nil {
+		if !s.storeOut {
 			s.log.WithError(err).WithField("age", now.Sub(s.View().FreshAt).String()).Warn("store lost; the known servers stay in use")
 			s.storeOut = true
 			s.retryWait = retryPause
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -28,7 +28,7 @@
 type result struct {
 	lease    *slots.Lease
 	answer   *answer
-	failure  failure
+	failure  Failure
 	failed   bool
 	outcome  choose.Outcome
 	err      error
@@ -64,7 +64,7 @@
 	conn, err := h.conns.Get(ctx, target, youngest)
 	if err != nil {
 		h.release(lease, dialOutcome(ctx), 0, proto.Report{Running: -1})
-		return result{failed: true, failure: notSent, outcome: dialOutcome(ctx), err: err}
+		return result{failed: true, failure: NotSent, outcome: dialOutcome(ctx), err: err}
 	}
 	sent := time.Now()
 	response, err := conn.Do(ctx, e.outgoing(h.dialect, lease.Server.ID))
@@ -73,7 +73,7 @@
 		return h.broken(ctx, lease, err, time.Since(sent))
 	}
 	report := h.dialect.Read(response.StatusCode, response.Header)
-	return h.receive(ctx, e, lease, conn, response, report, sent)
+	return h.receive(ctx, lease, conn, response, report, sent)
 }
 
 func dialOutcome(ctx context.Context) choose.Outcome {
@@ -85,12 +85,12 @@
 
 // broken judges a connection that failed before an answer began.
 func (h *Handler) broken(ctx context.Context, lease *slots.Lease, err error, took time.Duration) result {
-	res := result{failed: true, failure: unknown, outcome: choose.Lost, err: err}
+	res := result{failed: true, failure: Unknown, outcome: choose.Lost, err: err}
 	var broke *upconn.BrokenError
 	isBroken := errors.As(err, &broke)
 	switch {
 	case isBroken && !broke.Written:
-		res.failure, res.outcome = notSent, choose.Cancelled
+		res.failure, res.outcome = NotSent, choose.Cancelled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		res.outcome = choose.TimedOut
 	case ctx.Err() != nil:
@@ -105,7 +105,7 @@
 
 // receive keeps the answer's body, or its beginning if it is large.
 func (h *Handler) receive(
-	ctx context.Context, e *exchange, lease *slots.Lease, conn *upconn.Conn,
+	ctx context.Context, lease *slots.Lease, conn *upconn.Conn,
 	response *http.Response, report proto.Report, sent time.Time,
 ) result {
 	a := &answer{status: response.StatusCode, header: response.Header, length: response.ContentLength}
@@ -153,15 +153,15 @@
 func judge(a *answer, report proto.Report) result {
 	switch {
 	case report.Elsewhere:
-		return result{failed: true, failure: notRun, outcome: choose.Gone}
+		return result{failed: true, failure: NotRun, outcome: choose.Gone}
 	case report.NotRun && a.status != http.StatusBadRequest:
-		return result{failed: true, failure: notRun, outcome: choose.Shed}
+		return result{failed: true, failure: NotRun, outcome: choose.Shed}
 	case !report.Signed && (a.status < 300 || promises(a.status)):
-		return result{failed: true, failure: unknown, outcome: choose.Failed}
+		return result{failed: true, failure: Unknown, outcome: choose.Failed}
 	case a.status == http.StatusGatewayTimeout:
-		return result{answer: a, failed: true, failure: answered, outcome: choose.TimedOut}
+		return result{answer: a, failed: true, failure: Answered, outcome: choose.TimedOut}
 	case a.status >= http.StatusInternalServerError:
-		return result{answer: a, failed: true, failure: answered, outcome: choose.Failed}
+		return result{answer: a, failed: true, failure: Answered, outcome: choose.Failed}
 	default:
 		return result{answer: a, outcome: choose.Served}
 	}
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -25,7 +25,7 @@
 	body     *body
 	arrived  time.Time
 	deadline time.Time
-	history  history
+	history  *History
 	results  chan result
 	pending  int
 	patience time.Duration
@@ -71,7 +71,7 @@
 			if last.answer == nil || res.answer != nil {
 				last = res
 			}
-			if e.pending == 0 && ctx.Err() == nil && e.body.repeatable() && e.history.again(res.failure) {
+			if e.pending == 0 && ctx.Err() == nil && e.body.repeatable() && e.history.Again(res.failure) {
 				if h.begin(ctx, e) {
 					hedge.Reset(e.patience)
 				}
@@ -84,7 +84,7 @@
 // hedge sends an idempotent request to a second server when the first one takes
 // longer than expected; whichever answers first is passed on.
 func (h *Handler) hedge(ctx context.Context, e *exchange) {
-	if !e.route.Idempotent || !e.body.repeatable() || !e.history.again(unknown) {
+	if !e.route.Idempotent || !e.body.repeatable() || !e.history.Again(Unknown) {
 		return
 	}
 	if h.begin(ctx, e) {
@@ -145,7 +145,7 @@
 }
 
 func (h *Handler) start(ctx context.Context, e *exchange, lease *slots.Lease) {
-	e.history.began(lease.Server.ID)
+	e.history.Began(lease.Server.ID)
 	e.pending++
 	e.patience = max(lease.Patience, minPatience)
 	go func(results chan<- result) {
@@ -159,7 +159,7 @@
 }
 
 func (h *Handler) noteFailure(e *exchange, res result) {
-	e.history.failed(res.failure)
+	e.history.Failed(res.failure)
 	h.metrics.attempts.WithLabelValues(outcomeNames[res.outcome]).Inc()
 	entry := h.log.WithField("request_id", e.id).WithField("server", res.lease.Server.ID).
 		WithField("outcome", outcomeNames[res.outcome]).WithField("ms", res.duration.Milliseconds()).
@@ -179,9 +179,9 @@
 	switch {
 	case last.answer != nil:
 		return last.answer, ownAnswer{}
-	case e.history.mayHaveRun && late:
+	case e.history.MayHaveRun() && late:
 		return nil, ownAnswer{status: http.StatusGatewayTimeout, reason: reasonDeadline}
-	case e.history.mayHaveRun:
+	case e.history.MayHaveRun():
 		return nil, ownAnswer{status: http.StatusBadGateway, reason: reasonNoAnswer}
 	case late:
 		return nil, ownAnswer{status: http.StatusServiceUnavailable, reason: reasonDeadline}
@@ -198,7 +198,7 @@
 
 // refusal returns the answer for a request that no server could take.
 func (e *exchange) refusal() ownAnswer {
-	if e.history.mayHaveRun {
+	if e.history.MayHaveRun() {
 		return ownAnswer{status: http.StatusBadGateway, reason: reasonNoAnswer}
 	}
 	return ownAnswer{
--- a/front/handler.go
+++ b/front/handler.go
@@ -55,7 +55,7 @@
 
 // ServeHTTP takes one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e := &exchange{id: h.dialect.RequestID(r.Header), request: r, arrived: time.Now()}
+	e := h.newExchange(r)
 	if refused, found := h.prepare(w, e); found {
 		h.answerSelf(w, e, refused)
 		return
@@ -74,6 +74,10 @@
 	}
 }
 
+func (h *Handler) newExchange(r *http.Request) *exchange {
+	return &exchange{id: h.dialect.RequestID(r.Header), request: r, arrived: time.Now(), history: &History{}}
+}
+
 // prepare looks everything up that the request needs, or returns why it is
 // refused before anything is sent on.
 func (h *Handler) prepare(w http.ResponseWriter, e *exchange) (ownAnswer, bool) {
@@ -119,7 +123,7 @@
 	}
 	e.service = e.route.Pick(rand.Float64())
 	e.header = endToEnd(e.request.Header)
-	e.history = history{idempotent: e.route.Idempotent, attempts: e.route.Attempts}
+	e.history = NewHistory(e.route.Idempotent, e.route.Attempts)
 	return ownAnswer{}, false
 }
 
--- /dev/null
+++ b/front/history_test.go
@@ -0,0 +1,48 @@
+package front_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dandeliondoor/front"
+)
+
+// TestAtMostOnce draws the ends of attempts: a request that is not idempotent
+// goes to another server only while no server may have run it, and no request
+// goes to more servers than its route allows.
+func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
+	ends := []front.Failure{front.NotSent, front.NotRun, front.Answered, front.Unknown}
+	rapid.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		attempts := rapid.IntRange(1, 4).Draw(t, "attempts")
+		history := front.NewHistory(idempotent, attempts)
+		sends, mayHaveRun := 0, false
+		for {
+			history.Began("server")
+			sends++
+			end := rapid.SampledFrom(ends).Draw(t, "end")
+			history.Failed(end)
+			switch end {
+			case front.NotSent:
+				sends--
+			case front.Answered, front.Unknown:
+				mayHaveRun = true
+			case front.NotRun:
+			}
+			if history.MayHaveRun() != mayHaveRun {
+				t.Fatalf("may have run is %t", history.MayHaveRun())
+			}
+			if !history.Again(end) {
+				return
+			}
+			if mayHaveRun && !idempotent {
+				t.Fatal("a request that may have run is sent again")
+			}
+			if sends >= attempts {
+				t.Fatalf("sent to %d servers, %d are allowed", sends+1, attempts)
+			}
+		}
+	})
+}
--- a/front/service.go
+++ b/front/service.go
@@ -101,8 +101,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.refusing.Load() {
-		e := &exchange{id: s.handler.dialect.RequestID(r.Header), request: r, arrived: time.Now()}
-		s.handler.answerSelf(w, e, ownAnswer{status: http.StatusServiceUnavailable, reason: reasonLeaving})
+		s.handler.answerSelf(w, s.handler.newExchange(r), ownAnswer{status: http.StatusServiceUnavailable, reason: reasonLeaving})
 		return
 	}
 	s.handler.ServeHTTP(w, r)
