--- /dev/null
+++ b/stand/server.go
@@ -0,0 +1,145 @@
+package stand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"dandeliondoor/platform"
+	"dandeliondoor/proto"
+)
+
+// ServerFaults are the faults of a server. Fail answers 500 after the run; Shed
+// refuses before it; Cut breaks the connection after it; Foreign sends an answer
+// to another request first; Work is how long a run takes.
+type ServerFaults struct {
+	Fail    bool
+	Shed    bool
+	Cut     bool
+	Foreign bool
+	Work    time.Duration
+}
+
+// Server stands in for a server of the platform: it registers itself in the
+// store, runs requests that are meant for it, and counts its runs.
+type Server struct {
+	Faults Switch[ServerFaults]
+
+	id      string
+	service string
+	zone    string
+	address netip.AddrPort
+
+	mutex    sync.Mutex
+	sequence int
+	running  int
+	runs     map[string]int
+}
+
+// NewServer returns a server with an address, which its owner serves.
+func NewServer(id, service, zone string, address netip.AddrPort) *Server {
+	return &Server{id: id, service: service, zone: zone, address: address, runs: make(map[string]int)}
+}
+
+// serverSlots is how many requests a server says that it runs at once.
+const serverSlots = 3
+
+// Register writes the server's entry to the store; state is ready or draining.
+func (s *Server) Register(store *Store, state string) error {
+	s.mutex.Lock()
+	s.sequence++
+	entry := map[string]any{
+		"service": s.service, "address": s.address.String(), "zone": s.zone, "version": "v1",
+		"slots": serverSlots, "state": state, "warmup_left_s": 0, "seq": s.sequence, "born": 1,
+	}
+	s.mutex.Unlock()
+	data, err := json.Marshal(entry)
+	if err != nil {
+		return err
+	}
+	store.Put(platform.ServerTopic, s.id, data)
+	return nil
+}
+
+// Leave removes the server's entry from the store.
+func (s *Server) Leave(store *Store) { store.Put(platform.ServerTopic, s.id, nil) }
+
+// Runs returns how often each request ran, by its id.
+func (s *Server) Runs() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	copied := make(map[string]int, len(s.runs))
+	for id, count := range s.runs {
+		copied[id] = count
+	}
+	return copied
+}
+
+// ServeHTTP runs one request by the platform's protocol.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(proto.HeaderRequestID)
+	faults := s.Faults.Get()
+	header := w.Header()
+	header.Set(proto.HeaderRequestID, id)
+	header.Set(platform.HeaderLoad, fmt.Sprintf("%d,0,%d", s.count(0), serverSlots))
+	switch expected := r.Header.Get(platform.HeaderInstance); {
+	case expected != "" && expected != s.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case faults.Shed:
+		header.Set(platform.HeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.run(id, faults.Work)
+	header.Set(platform.HeaderSignature, "signed-"+id)
+	switch {
+	case faults.Cut:
+		panic(http.ErrAbortHandler)
+	case faults.Foreign:
+		s.answerTwice(w, id)
+	case faults.Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		_, _ = fmt.Fprintf(w, "%s %s %s %s", s.id, r.Method, r.RequestURI, body)
+	}
+}
+
+// answerTwice sends an answer to another request before the right one.
+func (s *Server) answerTwice(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	for _, answered := range []string{"another", id} {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+proto.HeaderRequestID+": "+answered+"\r\n"+
+			platform.HeaderSignature+": signed-"+answered+"\r\nContent-Length: "+strconv.Itoa(len(answered))+"\r\n\r\n"+answered)
+	}
+}
+
+func (s *Server) run(id string, work time.Duration) {
+	s.count(1)
+	defer s.count(-1)
+	time.Sleep(work)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.runs[id]++
+}
+
+// count adds to the running requests and returns them.
+func (s *Server) count(change int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.running += change
+	return s.running
+}
