Keep servers in use with repeatable work; count the retry budget shorter

Refused after restarts: a daemon tried dark seeds before the store. Change: repeatable work reaches four fifths of the servers within 1.3 s; the ratio is used to seven tenths; the store is asked first at a start; requests wait up to 250 ms for a first view; contents that lose three connections in a row are refused; settings are taken up while the daemon runs.

--- a/choose/floor.go
+++ b/choose/floor.go
@@ -11,16 +11,25 @@
 	failingTime = 1500 * time.Millisecond
 	// failingLimit is the share of failures from which work is spread; the
 	// platform's floor holds from a tenth on.
-	failingLimit = 0.07
+	failingLimit = 0.05
 	// minFailing is the count of outcomes, faded with failingTime, that a share
 	// needs.
 	minFailing = 8
 	// neglectTime is how long a server may go without work while requests fail;
 	// the floor counts spans of two seconds.
-	neglectTime = 1200 * time.Millisecond
+	neglectTime = 1600 * time.Millisecond
 	// spreadShare is the part of the servers that gets work then; the floor asks
-	// for seven tenths.
-	spreadShare = 0.8
+	// for seven tenths of those that are sound.
+	spreadShare = 0.9
+)
+
+// Work that can be repeated elsewhere keeps servers in use at all times, since
+// requests may also fail where the pool does not see it, in daemons that end.
+const (
+	calmNeglectTime = 1300 * time.Millisecond
+	calmSpreadShare = 0.8
+	// failingNeglectTime holds for such work while requests fail.
+	failingNeglectTime = 800 * time.Millisecond
 )
 
 // failureRate is the fading share of requests that fail.
@@ -51,16 +60,17 @@
 	return f.all >= minFailing && f.failed > failingLimit*f.all
 }
 
-// neglected returns the best of the servers without work for long, when requests
-// fail and too few servers get work.
-func (p *Pool) neglected(now time.Time, candidates []*server) *server {
-	if !p.failing.high() {
+// neglected returns the best of the servers that had no work for long, when too
+// few servers get work.
+func (p *Pool) neglected(now time.Time, ask Ask, candidates []*server) *server {
+	limit, share := p.spread(ask)
+	if limit == 0 {
 		return nil
 	}
 	var best *server
 	given, least := 0, 0.0
 	for _, s := range candidates {
-		if now.Sub(s.lastGiven) < neglectTime {
+		if now.Sub(s.lastGiven) < limit {
 			given++
 			continue
 		}
@@ -71,8 +81,25 @@
 			best, least = s, bad
 		}
 	}
-	if float64(given) >= spreadShare*float64(len(candidates)) {
+	if float64(given) >= share*float64(len(candidates)) {
 		return nil
 	}
 	return best
 }
+
+// spread returns within what time which share of the servers should get work, or
+// 0 if the ask is not to be used for that.
+func (p *Pool) spread(ask Ask) (within time.Duration, share float64) {
+	probes := ask.Probe && !ask.Repeat
+	failing := p.failing.high()
+	switch {
+	case probes && failing:
+		return failingNeglectTime, spreadShare
+	case probes:
+		return calmNeglectTime, calmSpreadShare
+	case failing && !ask.Repeat:
+		return neglectTime, spreadShare
+	default:
+		return 0, 0
+	}
+}
--- a/choose/message.go
+++ b/choose/message.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"dandeliondoor/crash"
 )
 
 // Ask requests a server for one attempt of a request. Ticket names the attempt
@@ -9,7 +11,8 @@
 // has to be answered. Exclude names servers that this daemon cannot use or that
 // had the request before. Repeat says that a server had the request before, so
 // that the attempt counts against the budget of second sends; Probe says that a
-// failure could be repeated elsewhere.
+// failure could be repeated elsewhere. Content tells requests of the same caller,
+// target and body apart from others, 0 for none.
 type Ask struct {
 	Daemon    string
 	Ticket    uint64
@@ -21,6 +24,7 @@
 	Exclude   []string
 	Repeat    bool
 	Probe     bool
+	Content   crash.Fingerprint
 }
 
 // Decision is the answer to an ask.
@@ -58,6 +62,7 @@
 // The reasons of a refusal.
 const (
 	ReasonBudget   Reason = "retry_budget"
+	ReasonCrashes  Reason = "crashes_servers"
 	ReasonNoServer Reason = "no_server"
 	ReasonOverload Reason = "overload"
 )
--- a/choose/pool.go
+++ b/choose/pool.go
@@ -55,6 +55,7 @@
 	budget  *Budget
 	random  *rand.Rand
 	failing failureRate
+	crashes crashes
 }
 
 // NewPool returns a pool without servers.
@@ -68,6 +69,9 @@
 	}
 }
 
+// SetLimits replaces the limits of second sends.
+func (p *Pool) SetLimits(limits Limits) { p.budget.limits = limits }
+
 // SetServers replaces the servers of the service; one that started again begins
 // anew.
 func (p *Pool) SetServers(now time.Time, records []topo.Server) {
@@ -94,6 +98,9 @@
 
 // Choose returns the server for an attempt.
 func (p *Pool) Choose(now time.Time, ask Ask) Decision {
+	if p.crashes.refuses(now, ask.Content) {
+		return Refused{Reason: ReasonCrashes}
+	}
 	if ask.Repeat && !p.budget.Take(now) {
 		return Refused{Reason: ReasonBudget}
 	}
@@ -116,6 +123,7 @@
 		expires: now.Add(ask.Left + expiryMargin),
 		probe:   probe,
 		last:    !ask.Probe,
+		content: ask.Content,
 	})
 	best.lastGiven, best.lastBy = now, ask.Daemon
 	return Granted{Server: best.ID, Born: best.Born, Patience: p.patience(now, ask, best)}
@@ -137,7 +145,7 @@
 			candidates = append(candidates, s)
 		}
 	}
-	if s := p.neglected(now, candidates); s != nil {
+	if s := p.neglected(now, ask, candidates); s != nil {
 		return s
 	}
 	if ask.Probe && !ask.Repeat {
@@ -282,6 +290,7 @@
 	s.report(now, release.Running, release.Waiting)
 	p.learn(now, s, release, given.route, found)
 	p.failing.note(now, release.Outcome, given.last)
+	p.crashes.note(now, given.content, release.Outcome)
 }
 
 func (p *Pool) learn(now time.Time, s *server, release Release, route string, found bool) {
--- a/choose/pool_test.go
+++ b/choose/pool_test.go
@@ -208,3 +208,30 @@
 		t.Errorf("%d second sends without a request", repeats)
 	}
 }
+
+// TestCrashingContent loses the connection of one content again and again: it is
+// refused after the third loss, and other contents are not.
+func TestCrashingContent(t *testing.T) {
+	t.Parallel()
+	r := newRig(8)
+	const poison, harmless = 7, 8
+	sent := 0
+	for range 10 {
+		decision := r.ask(func(ask *choose.Ask) { ask.Content = poison })
+		granted, isGranted := decision.(choose.Granted)
+		if !isGranted {
+			break
+		}
+		sent++
+		r.now = r.now.Add(10 * time.Millisecond)
+		r.pool.Release(r.now, choose.Release{
+			Daemon: "front-1", Ticket: r.ticket, Server: granted.Server, Outcome: choose.Lost, Running: -1,
+		})
+	}
+	if sent != 3 {
+		t.Errorf("sent %d times, want 3", sent)
+	}
+	if _, isGranted := r.ask(func(ask *choose.Ask) { ask.Content = harmless }).(choose.Granted); !isGranted {
+		t.Error("another content is refused")
+	}
+}
--- a/choose/server.go
+++ b/choose/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/topo"
 )
 
@@ -35,6 +36,7 @@
 	expires time.Time
 	probe   bool
 	last    bool
+	content crash.Fingerprint
 }
 
 // server is what is known of one server.
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"reflect"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,6 +35,9 @@
 	// slackPart leaves the rest of the retry slack to brokers that follow one another
 	// within the window and do not know what was spent.
 	slackPart = 0.3
+	// ratioPart leaves out of the retry ratio what requests add that the platform
+	// sends to check the configuration and does not count.
+	ratioPart = 0.7
 	// stopMargin is what is left of the limit of a planned stop for the end of
 	// the process.
 	stopMargin = 400 * time.Millisecond
@@ -56,6 +60,8 @@
 	feed     *feed.Service
 	front    *front.Service
 	logger   *logs.Logger
+	broker   *slots.Broker
+	alone    *slots.Broker
 }
 
 // NewFront opens the daemon's ports and builds its services; nothing runs yet.
@@ -75,6 +81,7 @@
 	f.feed = f.newFeed(around, peers, seed)
 	broker := slots.NewBroker(f.retryLimits(1), seed)
 	alone := slots.NewBroker(f.retryLimits(aloneShare), seed)
+	f.broker, f.alone = broker, alone
 	f.feed.Watch(func(view *feed.View) { broker.Changed(time.Now(), view) })
 	f.feed.Watch(func(view *feed.View) { alone.Changed(time.Now(), view) })
 	brokers := slots.NewService(broker)
@@ -119,7 +126,7 @@
 
 func (f *Front) retryLimits(share float64) choose.Limits {
 	retries := f.settings.Retries
-	return choose.Limits{Ratio: retries.Ratio, Window: retries.Window, Slack: retries.Slack * slackPart * share}
+	return choose.Limits{Ratio: retries.Ratio * ratioPart, Window: retries.Window, Slack: retries.Slack * slackPart * share}
 }
 
 // Start starts all services.
@@ -144,6 +151,19 @@
 	return errors.Join(f.kernel.Drain(limit), f.kernel.Stop())
 }
 
+// Reload takes new settings: the level of the log and the limits of second sends
+// hold at once. It reports whether others differ, which need a restart.
+func (f *Front) Reload(settings config.Front) (restart bool, err error) {
+	if err := f.logger.SetLevel(settings.Logs.Level); err != nil {
+		return false, err
+	}
+	settings.Logs.Level = f.settings.Logs.Level
+	f.settings.Retries = settings.Retries
+	f.broker.SetLimits(f.retryLimits(1))
+	f.alone.SetLimits(f.retryLimits(aloneShare))
+	return !reflect.DeepEqual(settings, f.settings), nil
+}
+
 // Dump returns the YAML of the state of all parts.
 func (f *Front) Dump(now time.Time) (string, error) { return admin.Dump(f.kernel, now, "") }
 
--- a/feed/source.go
+++ b/feed/source.go
@@ -35,8 +35,8 @@
 // run lists the daemons, announces this one unless it stands there already, and
 // then follows or reads until the context ends.
 func (s *Service) run(ctx context.Context) error {
-	if !s.settings.First && !s.followSeeds(ctx) {
-		s.listDaemons(ctx)
+	if !s.settings.First && !s.listDaemons(ctx) {
+		s.followSeeds(ctx)
 	}
 	announced := kernel.Run(ctx, s.announce)
 	if s.settings.First {
@@ -49,15 +49,16 @@
 	return <-announced
 }
 
-// listDaemons reads the list of daemons once; a reader brings it later if the
-// store does not answer.
-func (s *Service) listDaemons(ctx context.Context) {
+// listDaemons reads the list of daemons once and reports whether the store
+// answered; if not, a reader brings the list later.
+func (s *Service) listDaemons(ctx context.Context) bool {
 	changes, complete, err := s.sources.Daemons.Poll(ctx, 0)
 	if err != nil {
 		s.log.WithError(err).Warn("daemons could not be listed")
-		return
+		return false
 	}
 	s.takeDaemons(changes, complete)
+	return true
 }
 
 // announce stores this daemon's record, again and again until it is there.
--- a/front/body.go
+++ b/front/body.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+
+	"dandeliondoor/crash"
 )
 
 // maxBuffered is the largest body of a request or an answer that is kept whole.
@@ -51,6 +55,21 @@
 // repeatable reports whether the body can be sent more than once.
 func (b *body) repeatable() bool { return b.stream == nil }
 
+// fingerprint returns a hash over caller, method, host, target and the kept body.
+func (b *body) fingerprint(r *http.Request) crash.Fingerprint {
+	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		caller = r.RemoteAddr
+	}
+	digest := xxhash.New()
+	for _, part := range []string{caller, r.Method, r.Host, r.RequestURI} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.WriteString("\x00")
+	}
+	_, _ = digest.Write(b.kept)
+	return crash.Fingerprint(max(digest.Sum64(), 1))
+}
+
 // open returns the body for one attempt.
 func (b *body) open() io.Reader {
 	if b.stream != nil {
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"dandeliondoor/choose"
+	"dandeliondoor/crash"
 	"dandeliondoor/proto"
 	"dandeliondoor/slots"
 	"dandeliondoor/topo"
@@ -23,6 +24,7 @@
 	version  uint64
 	service  string
 	body     *body
+	content  crash.Fingerprint
 	arrived  time.Time
 	deadline time.Time
 	history  *History
@@ -110,7 +112,7 @@
 		case errors.As(err, &refused):
 			e.refused = refused.Refused
 		}
-		waited := refused != nil && (refused.Reason == choose.ReasonBudget || !time.Now().Before(limit))
+		waited := refused != nil && (refused.Reason == choose.ReasonBudget || refused.Reason == choose.ReasonCrashes || !time.Now().Before(limit))
 		e.history.tries++
 		if waited || ctx.Err() != nil || e.history.tries >= maxAsks {
 			return false
@@ -140,6 +142,7 @@
 		Left:      time.Until(e.deadline),
 		Exclude:   e.history.exclude(h.avoided()),
 		Repeat:    e.history.sends > 0,
+		Content:   e.content,
 		Probe:     e.route.Idempotent && e.body.repeatable() && e.history.sends+1 < e.history.attempts,
 	}
 }
--- a/front/handler.go
+++ b/front/handler.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dandeliondoor/choose"
+	"dandeliondoor/feed"
 	"dandeliondoor/httpd"
 	"dandeliondoor/proto"
 	"dandeliondoor/slots"
@@ -86,7 +87,7 @@
 	if framing.Chunked {
 		w.Header().Set("Connection", "close")
 	}
-	view := h.views.View()
+	view := h.readyView(r.Context())
 	switch {
 	case framing.Ambiguous:
 		return ownAnswer{status: http.StatusBadRequest, reason: reasonBadFraming}, true
@@ -112,6 +113,22 @@
 	return h.readBody(e, view.Table.Config.Limits.BodyBytes)
 }
 
+// The wait for a view by requests that reach a daemon right after its start.
+const (
+	viewPatience = 250 * time.Millisecond
+	viewPause    = 20 * time.Millisecond
+)
+
+// readyView returns the view, after a short wait if it cannot serve yet.
+func (h *Handler) readyView(ctx context.Context) *feed.View {
+	view := h.views.View()
+	for end := time.Now().Add(viewPatience); !view.Ready() && time.Now().Before(end) && ctx.Err() == nil; {
+		wait(ctx, viewPause)
+		view = h.views.View()
+	}
+	return view
+}
+
 func (h *Handler) readBody(e *exchange, limit int64) (ownAnswer, bool) {
 	var err error
 	e.body, err = readBody(e.request, limit)
@@ -121,6 +138,7 @@
 	case err != nil:
 		return ownAnswer{status: http.StatusBadRequest, reason: reasonBodyBroken}, true
 	}
+	e.content = e.body.fingerprint(e.request)
 	e.service = e.route.Pick(rand.Float64())
 	e.header = endToEnd(e.request.Header)
 	e.history = NewHistory(e.route.Idempotent, e.route.Attempts)
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -25,6 +25,16 @@
 	return &Broker{limits: limits, seed: seed, view: &feed.View{}, pools: make(map[string]*choose.Pool)}
 }
 
+// SetLimits replaces the limits of second sends.
+func (b *Broker) SetLimits(limits choose.Limits) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.limits = limits
+	for _, pool := range b.pools {
+		pool.SetLimits(limits)
+	}
+}
+
 // Changed takes a new view of the servers.
 func (b *Broker) Changed(now time.Time, view *feed.View) {
 	b.mutex.Lock()
