Follow seeds only while the store is out

Cause: after all machines lost power daemons tried three dark seeds, 300 ms each, before they read the store (front-gijon-1 started at 32.4 s, had its configuration at 33.1 s). Change: seeds are followed only after a call to the store has failed.

--- a/feed/source.go
+++ b/feed/source.go
@@ -91,7 +91,7 @@
 			return
 		}
 	}
-	if !s.View().Ready() && s.followSeeds(ctx) {
+	if s.storeOut && !s.View().Ready() && s.followSeeds(ctx) {
 		return
 	}
 	now := time.Now()
