Count failures of a server beside the model of spells

Ruled out: cut paths (the time-outs are spread evenly over the daemons). Change: a fading tally of outcomes a server, with overdue attempts, adds to its cost; one failure stays free, which the model of spells explains.

--- a/choose/pool.go
+++ b/choose/pool.go
@@ -171,6 +171,7 @@
 func (p *Pool) cost(now time.Time, ask Ask, s *server) float64 {
 	bad := p.suspicion(now, s)
 	fails := failSound + (failBad-failSound)*bad
+	fails += (1 - fails) * s.tally.rate(now, p.overdue(now, s))
 	mean := time.Duration(float64(p.mean(ask.Route)) * s.slowness(now))
 	queued := max(s.busy(now)+1-s.Slots, 0)
 	wait := time.Duration(float64(mean) * float64(queued) / float64(s.Slots))
@@ -206,14 +207,28 @@
 func (p *Pool) suspicion(now time.Time, s *server) float64 {
 	bad := s.belief.now(now, p.share)
 	for _, a := range s.attempts {
-		limit := time.Duration(overdueFactor * float64(p.mean(a.route)) * s.slowness(now))
-		if now.Sub(a.since) > limit && a.since.After(s.lastSeen) {
+		if a.since.After(s.lastSeen) && p.isOverdue(now, s, a) {
 			bad = posterior(bad, overdueBad, overdueSound)
 		}
 	}
 	return bad
 }
 
+// overdue returns how many attempts should have ended.
+func (p *Pool) overdue(now time.Time, s *server) int {
+	count := 0
+	for _, a := range s.attempts {
+		if p.isOverdue(now, s, a) {
+			count++
+		}
+	}
+	return count
+}
+
+func (p *Pool) isOverdue(now time.Time, s *server, a attempt) bool {
+	return now.Sub(a.since) > time.Duration(overdueFactor*float64(p.mean(a.route))*s.slowness(now))
+}
+
 // probeTarget returns a server of which too little is known, if work that can
 // be repeated elsewhere should find out about it.
 func (p *Pool) probeTarget(now time.Time, ask Ask, candidates []*server) *server {
@@ -298,15 +313,19 @@
 	case Served:
 		s.belief.observe(now, p.share, 1-failBad, 1-failSound)
 		s.lastSeen = now
+		s.tally.note(now, false)
 		p.learnDuration(s, release.Duration, route, found)
 	case Failed:
 		s.belief.observe(now, p.share, failBad, failSound)
 		s.lastSeen = now
+		s.tally.note(now, true)
 	case Lost:
 		s.belief.observe(now, p.share, failBad, failSound)
+		s.tally.note(now, true)
 	case TimedOut:
 		if release.Duration > time.Duration(overdueFactor*float64(p.mean(route))) {
 			s.belief.observe(now, p.share, failBad, overdueSound)
+			s.tally.note(now, true)
 		}
 	case Unreachable:
 		s.belief.observe(now, p.share, unreachableBad, unreachableSound)
--- a/choose/pool_test.go
+++ b/choose/pool_test.go
@@ -235,3 +235,29 @@
 		t.Error("another content is refused")
 	}
 }
+
+// TestSilentServer lets one of four servers lose three in ten answers, spread
+// among others that are served: it gets a small part of the work.
+func TestSilentServer(t *testing.T) {
+	t.Parallel()
+	r := newRig(4)
+	silent, count := 0, 0
+	for i := range 300 {
+		got := r.run(func(server string) choose.Outcome {
+			if server != "i-00" {
+				return choose.Served
+			}
+			count++
+			if count%10 == 3 || count%10 == 6 || count%10 == 9 {
+				return choose.Lost
+			}
+			return choose.Served
+		})
+		if got == "i-00" && i >= 100 {
+			silent++
+		}
+	}
+	if silent > 200/8 {
+		t.Errorf("the silent server got %d of 200 requests", silent)
+	}
+}
--- a/choose/server.go
+++ b/choose/server.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"math"
 	"time"
 
 	"dandeliondoor/crash"
@@ -52,6 +53,43 @@
 	lastSeen   time.Time
 	lastGiven  time.Time
 	lastBy     string
+	tally      tally
+}
+
+// tally counts the outcomes of a server, faded with tallyTime. It shows servers
+// that lose a part of their work all the time, which the model of spells takes
+// for sound after each success.
+type tally struct {
+	good float64
+	bad  float64
+	at   time.Time
+}
+
+const (
+	tallyTime = 5 * time.Second
+	// tallyPrior is the weight of the expectation that nothing fails, in
+	// outcomes, and tallyFree the failures that the model of spells explains.
+	tallyPrior = 3
+	tallyFree  = 1
+)
+
+// note counts one outcome.
+func (t *tally) note(now time.Time, failed bool) {
+	kept := math.Exp(-now.Sub(t.at).Seconds() / tallyTime.Seconds())
+	t.good, t.bad, t.at = t.good*kept, t.bad*kept, now
+	if failed {
+		t.bad++
+		return
+	}
+	t.good++
+}
+
+// rate returns the share of failures, with so many attempts more that are
+// overdue.
+func (t *tally) rate(now time.Time, overdue int) float64 {
+	kept := math.Exp(-now.Sub(t.at).Seconds() / tallyTime.Seconds())
+	bad := t.bad*kept + float64(overdue)
+	return max(bad-tallyFree, 0) / (t.good*kept + bad + tallyPrior)
 }
 
 func newServer(now time.Time, record topo.Server, share float64) *server {
