--- a/front/handler.go
+++ b/front/handler.go
@@ -57,7 +57,7 @@
 // ServeHTTP takes one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := h.newExchange(r)
-	if refused, found := h.prepare(w, e); found {
+	if refused, found := h.prepare(r.Context(), w, e); found {
 		h.answerSelf(w, e, refused)
 		return
 	}
@@ -81,13 +81,13 @@
 
 // prepare looks everything up that the request needs, or returns why it is
 // refused before anything is sent on.
-func (h *Handler) prepare(w http.ResponseWriter, e *exchange) (ownAnswer, bool) {
+func (h *Handler) prepare(ctx context.Context, w http.ResponseWriter, e *exchange) (ownAnswer, bool) {
 	r := e.request
 	framing := httpd.FramingOf(r)
 	if framing.Chunked {
 		w.Header().Set("Connection", "close")
 	}
-	view := h.readyView(r.Context())
+	view := h.readyView(ctx)
 	switch {
 	case framing.Ambiguous:
 		return ownAnswer{status: http.StatusBadRequest, reason: reasonBadFraming}, true
