Encode the platform's records in its own folder; share the end-to-end headers

Cause: stand-ins and a test spelled names of the platform outside platform/; two copies of the header list stood in entry and front.

--- a/entry/headers.go
+++ b/entry/headers.go
@@ -3,48 +3,20 @@
 import (
 	"net"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
 
+	"dandeliondoor/httpd"
 	"dandeliondoor/proto"
 )
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection",
-	"Expect",
-	"Keep-Alive",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Proxy-Connection",
-	"Te",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
-}
-
 // forwardedHeader lists the addresses that a request came through.
 const forwardedHeader = "X-Forwarded-For"
 
-// copyEndToEnd returns the headers without those of one connection.
-func copyEndToEnd(header http.Header) http.Header {
-	copied := header.Clone()
-	for _, line := range header["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			copied.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		copied.Del(name)
-	}
-	return copied
-}
-
 // requestHeaders returns what an upstream receives.
 func requestHeaders(r *http.Request, requestID string, left time.Duration) http.Header {
-	header := copyEndToEnd(r.Header)
+	header := httpd.EndToEnd(r.Header)
 	header.Set(proto.HeaderRequestID, requestID)
 	header.Set(proto.HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	if _, present := header["User-Agent"]; !present {
--- a/front/handler.go
+++ b/front/handler.go
@@ -140,7 +140,8 @@
 	}
 	e.content = e.body.fingerprint(e.request)
 	e.service = e.route.Pick(rand.Float64())
-	e.header = endToEnd(e.request.Header)
+	e.header = httpd.EndToEnd(e.request.Header)
+	e.header.Del("Content-Length")
 	e.history = NewHistory(e.route.Idempotent, e.route.Attempts)
 	return ownAnswer{}, false
 }
@@ -149,7 +150,7 @@
 // caller too, never ended as if it were complete.
 func (h *Handler) pass(w http.ResponseWriter, e *exchange, a *answer) {
 	header := w.Header()
-	for name, values := range endToEnd(a.header) {
+	for name, values := range httpd.EndToEnd(a.header) {
 		header[name] = values
 	}
 	if _, typed := header["Content-Type"]; !typed {
--- a/front/headers.go
+++ b/httpd/headers.go
@@ -1,4 +1,4 @@
-package front
+package httpd
 
 import (
 	"net/http"
@@ -6,10 +6,9 @@
 	"strings"
 )
 
-// hopHeaders concern one connection only, or are set by the fleet itself.
+// hopHeaders concern one connection only.
 var hopHeaders = []string{
 	"Connection",
-	"Content-Length",
 	"Expect",
 	"Keep-Alive",
 	"Proxy-Authenticate",
@@ -21,8 +20,8 @@
 	"Upgrade",
 }
 
-// endToEnd returns the headers without those of one connection.
-func endToEnd(header http.Header) http.Header {
+// EndToEnd returns a copy of the headers without those of one connection.
+func EndToEnd(header http.Header) http.Header {
 	copied := header.Clone()
 	for _, line := range header["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -18,6 +18,7 @@
 	"dandeliondoor/platform"
 	"dandeliondoor/proto"
 	"dandeliondoor/stand"
+	"dandeliondoor/topo"
 )
 
 // frontFleet is a fleet of processes before stand-ins of the platform's store
@@ -42,24 +43,35 @@
 	file      string
 }
 
-const frontConfig = `{"version":"VERSION","resources":[
-{"resource_kind":"routes","metadata":{"name":"lots"},"spec":{"host":"souk.example","path_prefix":"/lots/","type":"safe",
-"timeout_s":3,"target_latency_s":1,"priority":1,"service":"souk","max_attempts":3}},
-{"resource_kind":"routes","metadata":{"name":"bales"},"spec":{"host":"souk.example","path_prefix":"/PREFIX/","type":"unsafe",
-"timeout_s":3,"target_latency_s":1,"priority":0,"service":"souk","max_attempts":2}},
-{"resource_kind":"services","metadata":{"name":"souk"},"spec":{"health_path":"/health"}},
-{"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}}]}`
+// frontConfig returns a configuration whose second route has the given prefix.
+func frontConfig(version uint64, prefix string) *topo.Config {
+	souk := []topo.Target{{Service: "souk", Weight: 1}}
+	return &topo.Config{
+		Version: version,
+		Limits:  topo.Limits{HeaderBytes: 16384, BodyBytes: 1000, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Routes: []topo.Route{
+			{
+				Name: "lots", Host: "souk.example", Prefix: "/lots/", Idempotent: true, Timeout: 3 * time.Second,
+				Objective: time.Second, Attempts: 3, Priority: 1, Targets: souk,
+			},
+			{
+				Name: "bales", Host: "souk.example", Prefix: "/" + prefix + "/", Timeout: 3 * time.Second,
+				Objective: time.Second, Attempts: 2, Targets: souk,
+			},
+		},
+	}
+}
 
 func newFrontFleet(t *testing.T, fronts, servers int) *frontFleet {
 	t.Helper()
 	f := &frontFleet{fleet: &fleet{t: t, directory: t.TempDir()}, store: stand.NewStore()}
 	f.address = f.serve(f.store.Handler())
-	f.publishFront("00000001", "bales")
+	f.publishFront(1, "bales")
 	for i := range servers {
 		var server *stand.Server
 		address := f.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { server.ServeHTTP(w, r) }))
 		server = stand.NewServer(fmt.Sprintf("i-%d", i), "souk", zones[i%2], address)
-		must(t, server.Register(f.store, "ready"))
+		must(t, server.Register(f.store, false))
 		f.servers = append(f.servers, server)
 	}
 	for i := range fronts {
@@ -78,9 +90,10 @@
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
 
-func (f *frontFleet) publishFront(version, prefix string) {
-	text := strings.NewReplacer("VERSION", version, "PREFIX", prefix).Replace(frontConfig)
-	f.store.Put(platform.OperatorTopic, platform.ConfigKey, []byte(text))
+func (f *frontFleet) publishFront(version uint64, prefix string) {
+	data, err := platform.EncodeConfig(frontConfig(version, prefix))
+	must(f.t, err)
+	f.store.Put(platform.OperatorTopic, platform.ConfigKey, data)
 }
 
 func (f *frontFleet) startFront(name, zone string) *frontProcess {
@@ -202,12 +215,12 @@
 		}
 	}
 	f.store.Faults.Set(stand.StoreFaults{})
-	f.publishFront("0000000a", "sacks")
+	f.publishFront(10, "sacks")
 	for _, p := range f.fronts {
 		f.eventually(p.name+" serves by version 10", func() bool { return serves(p, "/sacks/1") && !serves(p, "/bales/1") })
 	}
-	f.publishFront("00000009", "bales")
-	must(t, f.servers[0].Register(f.store, "draining"))
+	f.publishFront(9, "bales")
+	must(t, f.servers[0].Register(f.store, true))
 	time.Sleep(2 * time.Second)
 	before := len(f.servers[0].Runs())
 	f.fronts[0].signal(t, syscall.SIGKILL)
--- a/stand/server.go
+++ b/stand/server.go
@@ -1,7 +1,6 @@
 package stand
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"dandeliondoor/platform"
 	"dandeliondoor/proto"
+	"dandeliondoor/topo"
 )
 
 // ServerFaults are the faults of a server. Fail answers 500 after the run; Shed
@@ -36,7 +36,7 @@
 	address netip.AddrPort
 
 	mutex    sync.Mutex
-	sequence int
+	sequence int64
 	running  int
 	runs     map[string]int
 }
@@ -49,16 +49,15 @@
 // serverSlots is how many requests a server says that it runs at once.
 const serverSlots = 3
 
-// Register writes the server's entry to the store; state is ready or draining.
-func (s *Server) Register(store *Store, state string) error {
+// Register writes the server's entry to the store.
+func (s *Server) Register(store *Store, draining bool) error {
 	s.mutex.Lock()
 	s.sequence++
-	entry := map[string]any{
-		"service": s.service, "address": s.address.String(), "zone": s.zone, "version": "v1",
-		"slots": serverSlots, "state": state, "warmup_left_s": 0, "seq": s.sequence, "born": 1,
-	}
+	sequence := s.sequence
 	s.mutex.Unlock()
-	data, err := json.Marshal(entry)
+	data, err := platform.EncodeServer(topo.Server{
+		Service: s.service, Address: s.address, Zone: s.zone, Slots: serverSlots, Draining: draining, Born: 1,
+	}, sequence)
 	if err != nil {
 		return err
 	}
