Count only attempts as tries, not asks for a server

Cause: each repeated ask while a request waits for a first server counted as a try, so that a request that had waited 150 ms was not repeated after a failure. Found by reading the code again. Change: asks have a count of their own.

--- a/feed/read.go
+++ b/feed/read.go
@@ -14,9 +14,9 @@
 	// daemonsWait is how long the store may hold a call for the daemons, whose
 	// list changes rarely.
 	daemonsWait = 10 * time.Second
-	// configParts is how many intervals between reads the store
-	// may hold a call for the configuration. That is short, for a call that is held
-	// while a record is stored may not see it.
+	// configParts is for how many intervals between reads the store may hold a
+	// call for the configuration. That is short, for a call that is held while a
+	// record is stored may not see it.
 	configParts = 2
 	// lateRetry is the wait after a failed read of a daemon that others read
 	// for.
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -98,7 +98,7 @@
 // server for it. The first attempt waits a short while for one.
 func (h *Handler) begin(ctx context.Context, e *exchange) bool {
 	limit := e.arrived.Add(max(e.route.Objective/patientPart, minPatience))
-	for {
+	for asks := 1; ; asks++ {
 		lease, err := h.slots.Ask(ctx, e.service, h.ask(e))
 		if err == nil {
 			h.start(ctx, e, lease)
@@ -112,9 +112,7 @@
 		case errors.As(err, &refused):
 			e.refused = refused.Refused
 		}
-		waited := refused != nil && (refused.Reason == choose.ReasonBudget || refused.Reason == choose.ReasonCrashes || !time.Now().Before(limit))
-		e.history.tries++
-		if waited || ctx.Err() != nil || e.history.tries >= maxAsks {
+		if ctx.Err() != nil || asks == maxAsks || isFinal(refused) || (refused != nil && !time.Now().Before(limit)) {
 			return false
 		}
 		if unknownServer == nil {
@@ -123,6 +121,11 @@
 	}
 }
 
+// isFinal reports whether asking again is of no use.
+func isFinal(refused *slots.RefusedError) bool {
+	return refused != nil && (refused.Reason == choose.ReasonBudget || refused.Reason == choose.ReasonCrashes)
+}
+
 // The wait for a first server.
 const (
 	// patientPart is the part of its objective that a request waits for a
