Read the store before further sources once the view is old

Change: a daemon whose view is old reads at once, and a call to a source gets less time as the view grows old.

--- a/feed/source.go
+++ b/feed/source.go
@@ -82,6 +82,10 @@
 func (s *Service) step(ctx context.Context) {
 	order := s.order()
 	at := slices.IndexFunc(order, func(d topo.Daemon) bool { return d.Name == s.self.Name })
+	if s.late(time.Now(), at) && !s.storeOut && s.View().Ready() {
+		// Further sources may take longer than a leaving server allows.
+		s.readOnce(ctx)
+	}
 	sources := sourcesOf(order, at)
 	if s.storeOut {
 		sources = append(sources, order[at+1:min(len(order), at+1+sourceTries)]...)
@@ -95,19 +99,24 @@
 		return
 	}
 	now := time.Now()
-	late := now.Sub(s.View().FreshAt) > s.settings.StaleAfter+rankPatience*time.Duration(min(at, maxPatientRank))
 	switch {
 	case s.storeOut && now.Before(s.retryAt):
 		pause(ctx, min(s.retryAt.Sub(now), retryPause))
 	case at < sourceTries:
 		s.read(ctx)
-	case late:
+	case s.late(now, at):
 		s.readOnce(ctx)
 	default:
 		pause(ctx, s.jitter(retryPause))
 	}
 }
 
+// late reports whether the view is so old that the daemon at a rank reads for
+// itself.
+func (s *Service) late(now time.Time, at int) bool {
+	return now.Sub(s.View().FreshAt) > s.settings.StaleAfter+rankPatience*time.Duration(min(at, maxPatientRank))
+}
+
 // followSeeds follows the first good seed, for a daemon that knows no other one.
 func (s *Service) followSeeds(ctx context.Context) bool {
 	for _, seed := range s.settings.Seeds {
@@ -154,6 +163,9 @@
 const (
 	followWait    = 400 * time.Millisecond
 	followTimeout = 900 * time.Millisecond
+	// minFollow is the shortest time for a call, which is held for followWait
+	// when nothing is newer.
+	minFollow = followWait + 100*time.Millisecond
 )
 
 // follow makes one call to a daemon and reports whether it is a good source.
@@ -161,7 +173,7 @@
 	if s.followed.name != daemon.Name {
 		s.setSource(daemon.Name)
 	}
-	call, cancel := context.WithTimeout(ctx, followTimeout)
+	call, cancel := context.WithTimeout(ctx, s.patience(time.Now()))
 	defer cancel()
 	request := s.followed.have
 	request.Name = s.self.Name
@@ -181,6 +193,13 @@
 	return true
 }
 
+// patience returns how long a call to a source may take: less as the view grows
+// old, so that there is time for another one.
+func (s *Service) patience(now time.Time) time.Duration {
+	left := s.settings.StaleAfter + minFollow - now.Sub(s.View().FreshAt)
+	return min(max(left, minFollow), followTimeout)
+}
+
 func (s *Service) setSource(name string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
