Look at the view's age before each source

A trace of the steps shows that did not mend it: the age was looked at once, before the first source, at 0.9 s; then up to five lost sources took 0.4 s each before the store was read. Ruled out: slow reads of the store (each took some ms in the trace); the wait of late ranks (25 ms a rank). Change: the age is looked at before each source.

--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -13,6 +13,7 @@
 	"dandeliondoor/feed"
 	"dandeliondoor/kernel"
 	"dandeliondoor/logs"
+	"dandeliondoor/stand"
 	"dandeliondoor/topo"
 	"dandeliondoor/wire"
 )
@@ -118,11 +119,24 @@
 	daemons *table[topo.Daemon]
 	feeds   []*feed.Service
 	paths   []*path
+	links   []*stand.Link
+
+	interval time.Duration
+	stale    time.Duration
 }
 
 func newZone(t *testing.T, count int) *zone {
 	t.Helper()
-	z := &zone{configs: newTable[*topo.Config](), servers: newTable[topo.Server](), daemons: newTable[topo.Daemon]()}
+	return newZoneOf(t, count, interval, stale)
+}
+
+// newZoneOf returns a zone whose readers read the store after each interval.
+func newZoneOf(t *testing.T, count int, interval, stale time.Duration) *zone {
+	t.Helper()
+	z := &zone{
+		configs: newTable[*topo.Config](), servers: newTable[topo.Server](), daemons: newTable[topo.Daemon](),
+		interval: interval, stale: stale,
+	}
 	z.configs.put("config", &topo.Config{Version: 1})
 	z.servers.put("i-1", topo.Server{ID: "i-1", Service: "souk", Slots: 3})
 	z.servers.put("i-2", topo.Server{ID: "i-2", Service: "souk", Slots: 3})
@@ -141,24 +155,30 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	near, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	way := &path{}
+	link := stand.NewLink(netip.MustParseAddrPort(listener.Addr().String()))
 	meter := &wire.Meter{}
 	peers := wire.NewPeers(meter)
 	self := topo.Daemon{
 		Name: fmt.Sprintf("front-%d", i), Zone: "medina", Capacity: 1,
-		Address: netip.MustParseAddrPort(listener.Addr().String()),
+		Address: netip.MustParseAddrPort(near.Addr().String()),
 	}
 	service := feed.New(self, feed.Sources{
 		Configs: &poller[*topo.Config]{table: z.configs, path: way},
 		Servers: &poller[topo.Server]{table: z.servers, path: way},
 		Daemons: &registry{poller[topo.Daemon]{table: z.daemons, path: way}},
-	}, peers, feed.Settings{Interval: interval, StaleAfter: stale, Seed: uint64(i)}, logs.Discard().Part(feed.Name))
+	}, peers, feed.Settings{Interval: z.interval, StaleAfter: z.stale, Seed: uint64(i)}, logs.Discard().Part(feed.Name))
 	server := wire.NewServer(meter)
 	server.Add(service.Receivers)
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := []<-chan error{
 		kernel.Run(ctx, func(ctx context.Context) error { return server.Serve(ctx, listener) }),
 		kernel.Run(ctx, peers.Run),
+		kernel.Run(ctx, func(ctx context.Context) error { return link.Serve(ctx, near) }),
 	}
 	end, err := service.Start(ctx, nil)
 	if err != nil {
@@ -174,6 +194,7 @@
 	})
 	z.feeds = append(z.feeds, service)
 	z.paths = append(z.paths, way)
+	z.links = append(z.links, link)
 }
 
 func (z *zone) waitFor(t *testing.T, i int, what string, reached func(view *feed.View) bool) {
@@ -261,6 +282,28 @@
 	}
 }
 
+// TestSilentSources silences all connections between daemons, new ones too: each
+// daemon finds its sources lost one after another, and still no view grows older
+// than a leaving server allows.
+func TestSilentSources(t *testing.T) {
+	t.Parallel()
+	const drainDue = 2 * time.Second
+	z := newZoneOf(t, 12, drainDue/4, drainDue/2)
+	time.Sleep(drainDue / 2)
+	for _, link := range z.links {
+		link.Faults.Set(stand.LinkFaults{DropForward: true, DropBackward: true})
+	}
+	oldest := time.Duration(0)
+	for end := time.Now().Add(2 * drainDue); time.Now().Before(end); time.Sleep(interval / 4) {
+		for _, f := range z.feeds {
+			oldest = max(oldest, time.Since(f.View().FreshAt))
+		}
+	}
+	if oldest > drainDue {
+		t.Errorf("a view grew %s old, bound %s", oldest, drainDue)
+	}
+}
+
 // TestNewDaemon starts a daemon that the store turns away: it follows the
 // others, whom it knows from its seeds.
 func TestNewDaemon(t *testing.T) {
--- a/feed/source.go
+++ b/feed/source.go
@@ -82,15 +82,15 @@
 func (s *Service) step(ctx context.Context) {
 	order := s.order()
 	at := slices.IndexFunc(order, func(d topo.Daemon) bool { return d.Name == s.self.Name })
-	if s.late(time.Now(), at) && !s.storeOut && s.View().Ready() {
-		// Further sources may take longer than a leaving server allows.
-		s.readOnce(ctx)
-	}
 	sources := sourcesOf(order, at)
 	if s.storeOut {
 		sources = append(sources, order[at+1:min(len(order), at+1+sourceTries)]...)
 	}
 	for _, daemon := range sources {
+		if s.late(time.Now(), at) && !s.storeOut && s.View().Ready() {
+			// Further sources may take longer than a leaving server allows.
+			s.readOnce(ctx)
+		}
 		if s.usable(time.Now(), daemon) && s.follow(ctx, daemon) {
 			return
 		}
