Hold lapsed servers only after failures since the view was confirmed

The server had its entry removed at 24.465 s and got requests until 27.29 s from daemons whose view was 0.4 s old. Their source had been turned away by the store until 11.5 s, then followed others, and read the store at 25.38 s for the first time since. It took that for the return of the store after an outage and held removals back for 2.2 s. The same old failure kept it from reading as soon as its view was old. Ruled out: the age of the views (at most 1.8 s in the zone); brokers with other views (both zones' views had the server). Change: removals are held only if a call failed after the view was confirmed last; a failed call to the store counts for 2 s; a view is as fresh as the moment at which the read was sent, not answered.

--- a/feed/read.go
+++ b/feed/read.go
@@ -89,6 +89,7 @@
 
 // readServers reads the servers once and reports whether the store answered.
 func (s *Service) readServers(ctx context.Context) bool {
+	asked := time.Now()
 	changes, complete, err := s.sources.Servers.Poll(ctx, 0)
 	now := time.Now()
 	if err != nil && ctx.Err() != nil {
@@ -100,21 +101,24 @@
 			s.storeOut = true
 			s.retryWait = retryPause
 		}
+		s.failedAt = now
 		s.retryAt = now.Add(s.jitter(s.retryWait))
 		s.retryWait = min(2*s.retryWait, maxRetryPause)
 		return false
 	}
 	known := s.View().FreshAt
-	wasOut := s.storeOut
-	if wasOut {
+	if s.storeOut {
 		s.log.WithField("age", now.Sub(known).String()).Info("store regained")
 		s.storeOut = false
 	}
 	s.apply(func(state *state) bool {
-		if wasOut && !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
+		// A failure before the view was confirmed, by whichever daemon, says
+		// nothing of the time since.
+		outSince := s.failedAt.After(known)
+		if outSince && !known.IsZero() && now.Sub(known) > s.settings.StaleAfter {
 			s.lapses.returned(now)
 		}
-		state.freshAt, state.path = now, nil
+		state.freshAt, state.path = asked, nil
 		held, whole := s.lapses.hold(now, state.servers, changes, complete)
 		state.serversKnown = state.serversKnown || complete
 		return state.takeServers(held, whole) || complete
--- a/feed/service.go
+++ b/feed/service.go
@@ -76,6 +76,7 @@
 	avoided  map[string]time.Time
 
 	storeOut  bool
+	failedAt  time.Time
 	retryAt   time.Time
 	retryWait time.Duration
 }
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -207,6 +207,34 @@
 	t.Fatalf("front-%d: %s not reached; servers %v", i, what, z.feeds[i].View().Servers)
 }
 
+// cutStore takes the store away from all daemons for a while.
+func (z *zone) cutStore(period time.Duration) {
+	if period == 0 {
+		return
+	}
+	for _, way := range z.paths {
+		way.set(true)
+	}
+	time.Sleep(period)
+	for _, way := range z.paths {
+		way.set(false)
+	}
+}
+
+// oldest returns the highest age of a view within a period.
+func (z *zone) oldest(period time.Duration) time.Duration {
+	oldest := time.Duration(0)
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(interval / 4) {
+		for _, f := range z.feeds {
+			oldest = max(oldest, time.Since(f.View().FreshAt))
+		}
+	}
+	return oldest
+}
+
+// source returns the name of the daemon that daemon i takes its view from.
+func (z *zone) source(i int) string { return z.feeds[i].Dump(time.Now()).(feed.State).Source }
+
 func without(id string) func(view *feed.View) bool {
 	return func(view *feed.View) bool {
 		_, known := view.Servers[id]
@@ -284,23 +312,61 @@
 
 // TestSilentSources silences all connections between daemons, new ones too: each
 // daemon finds its sources lost one after another, and still no view grows older
-// than a leaving server allows.
+// than a leaving server allows. That holds also some time after an outage of the
+// store.
 func TestSilentSources(t *testing.T) {
 	t.Parallel()
 	const drainDue = 2 * time.Second
-	z := newZoneOf(t, 12, drainDue/4, drainDue/2)
-	time.Sleep(drainDue / 2)
-	for _, link := range z.links {
-		link.Faults.Set(stand.LinkFaults{DropForward: true, DropBackward: true})
+	for _, test := range []struct {
+		name   string
+		outage time.Duration
+	}{
+		{name: "calm before"},
+		{name: "outage before", outage: 2 * drainDue},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			z := newZoneOf(t, 12, drainDue/4, drainDue/2)
+			z.cutStore(test.outage)
+			for i := range z.feeds {
+				z.waitFor(t, i, "fresh view", func(view *feed.View) bool { return time.Since(view.FreshAt) < drainDue/2 })
+			}
+			time.Sleep(2 * drainDue)
+			for _, link := range z.links {
+				link.Faults.Set(stand.LinkFaults{DropForward: true, DropBackward: true})
+			}
+			if oldest := z.oldest(2 * drainDue); oldest > drainDue {
+				t.Errorf("a view grew %s old, bound %s", oldest, drainDue)
+			}
+		})
 	}
-	oldest := time.Duration(0)
-	for end := time.Now().Add(2 * drainDue); time.Now().Before(end); time.Sleep(interval / 4) {
-		for _, f := range z.feeds {
-			oldest = max(oldest, time.Since(f.View().FreshAt))
-		}
+}
+
+// TestPastOutage turns one daemon away from the store for a while, during which
+// it follows another. Long after, its source is turned away and a server's entry
+// is removed: the daemon takes the removal from the store at once, for the store was
+// seen to work since.
+func TestPastOutage(t *testing.T) {
+	t.Parallel()
+	const drainDue = 2 * time.Second
+	z := newZoneOf(t, 2, drainDue/4, drainDue/2)
+	reader, follower := 0, 1
+	if z.source(1) == z.feeds[1].Self().Name {
+		reader, follower = 1, 0
 	}
-	if oldest > drainDue {
-		t.Errorf("a view grew %s old, bound %s", oldest, drainDue)
+	z.paths[follower].set(true)
+	z.links[reader].Faults.Set(stand.LinkFaults{DropForward: true, DropBackward: true})
+	time.Sleep(drainDue)
+	z.links[reader].Faults.Set(stand.LinkFaults{})
+	z.waitFor(t, follower, "fresh view", func(view *feed.View) bool { return time.Since(view.FreshAt) < drainDue/2 })
+	z.paths[follower].set(false)
+	time.Sleep(drainDue / 2)
+	z.paths[reader].set(true)
+	z.servers.remove("i-1")
+	left := time.Now()
+	z.waitFor(t, follower, "removal", without("i-1"))
+	if took := time.Since(left); took > drainDue {
+		t.Errorf("the follower used a server for %s after its entry was removed, bound %s", took, drainDue)
 	}
 }
 
--- a/feed/source.go
+++ b/feed/source.go
@@ -28,6 +28,9 @@
 	maxPatientRank = 20
 	// idlePause is the wait after a reply that brought nothing newer.
 	idlePause = 50 * time.Millisecond
+	// failureTime is how long a failed call to the store counts; it is longer
+	// than lateRetry, so that it holds throughout an outage.
+	failureTime = 2 * time.Second
 	// avoidTime is how long a daemon is not followed whose view was old.
 	avoidTime = 2 * time.Second
 )
@@ -83,11 +86,11 @@
 	order := s.order()
 	at := slices.IndexFunc(order, func(d topo.Daemon) bool { return d.Name == s.self.Name })
 	sources := sourcesOf(order, at)
-	if s.storeOut {
+	if s.turnedAway(time.Now()) {
 		sources = append(sources, order[at+1:min(len(order), at+1+sourceTries)]...)
 	}
 	for _, daemon := range sources {
-		if s.late(time.Now(), at) && !s.storeOut && s.View().Ready() {
+		if now := time.Now(); s.late(now, at) && !s.turnedAway(now) && s.View().Ready() {
 			// Further sources may take longer than a leaving server allows.
 			s.readOnce(ctx)
 		}
@@ -95,12 +98,12 @@
 			return
 		}
 	}
-	if s.storeOut && !s.View().Ready() && s.followSeeds(ctx) {
+	if s.turnedAway(time.Now()) && !s.View().Ready() && s.followSeeds(ctx) {
 		return
 	}
 	now := time.Now()
 	switch {
-	case s.storeOut && now.Before(s.retryAt):
+	case s.turnedAway(now) && now.Before(s.retryAt):
 		pause(ctx, min(s.retryAt.Sub(now), retryPause))
 	case at < sourceTries:
 		s.read(ctx)
@@ -111,6 +114,13 @@
 	}
 }
 
+// turnedAway reports whether the store failed this daemon a short while ago. An
+// older failure says nothing, since a daemon that follows another does not call
+// the store.
+func (s *Service) turnedAway(now time.Time) bool {
+	return s.storeOut && now.Sub(s.failedAt) < failureTime
+}
+
 // late reports whether the view is so old that the daemon at a rank reads for
 // itself.
 func (s *Service) late(now time.Time, at int) bool {
