Pass on no promise that a server did not make

Cause: a server that ran a request and then answered 503, 429, 408 or 421 with its signature but without saying that nothing ran had its answer passed on. A caller takes such a status for a promise. Found by taking guards out one by one: several stayed green, and the test written for them failed at once (TestFrontOutcomes, "refuses after a run": 503, want 502). Ruled out: changing the status of the server's own answer, which must not bear its signature with another status. Change: such an answer counts as none; the caller gets the fleet's 502, and an idempotent request goes to another server. The stand-in counts a run when it begins and can leave signatures out, break off within a body, answer as another server, and answer late.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -156,7 +156,8 @@
 		return result{failed: true, failure: NotRun, outcome: choose.Gone}
 	case report.NotRun && a.status != http.StatusBadRequest:
 		return result{failed: true, failure: NotRun, outcome: choose.Shed}
-	case !report.Signed && (a.status < 300 || promises(a.status)):
+	case promises(a.status), !report.Signed && a.status < 300:
+		// To pass this on would promise what the server did not say.
 		return result{failed: true, failure: Unknown, outcome: choose.Failed}
 	case a.status == http.StatusGatewayTimeout:
 		return result{answer: a, failed: true, failure: Answered, outcome: choose.TimedOut}
--- a/front/history_test.go
+++ b/front/history_test.go
@@ -46,3 +46,32 @@
 		}
 	})
 }
+
+// TestAgain covers attempts that run side by side, whose ends come in any order.
+func TestAgain(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name       string
+		idempotent bool
+		earlier    []front.Failure
+		last       front.Failure
+		again      bool
+	}{
+		{name: "idempotent, lost before", idempotent: true, earlier: []front.Failure{front.Unknown}, last: front.NotRun, again: true},
+		{name: "lost before, refused now", earlier: []front.Failure{front.Unknown}, last: front.NotRun},
+		{name: "lost before, not sent now", earlier: []front.Failure{front.Unknown}, last: front.NotSent},
+		{name: "refused before and now", earlier: []front.Failure{front.NotRun}, last: front.NotRun, again: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			history := front.NewHistory(test.idempotent, 4)
+			for _, end := range append(test.earlier, test.last) {
+				history.Began("server")
+				history.Failed(end)
+			}
+			if again := history.Again(test.last); again != test.again {
+				t.Errorf("again is %t, want %t", again, test.again)
+			}
+		})
+	}
+}
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -175,12 +175,19 @@
 		status int
 		ran    int
 	}{
+		{name: "answer without signature", faults: stand.ServerFaults{Unsigned: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusBadGateway, ran: 1},
 		{name: "another answer first", faults: stand.ServerFaults{Foreign: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusOK, ran: 1},
+		{name: "another server at the address", faults: stand.ServerFaults{Moved: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusServiceUnavailable},
 		{name: "body too large", method: http.MethodPost, path: "/bales/1", body: strings.Repeat("x", 2000), status: http.StatusRequestEntityTooLarge},
 		{name: "cut", faults: stand.ServerFaults{Cut: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusBadGateway, ran: 1},
 		{name: "cut, idempotent", faults: stand.ServerFaults{Cut: true}, method: http.MethodGet, path: "/lots/1", status: http.StatusBadGateway, ran: 3},
 		{name: "fails", faults: stand.ServerFaults{Fail: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusInternalServerError, ran: 1},
+		{name: "half an answer", faults: stand.ServerFaults{Short: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusBadGateway, ran: 1},
+		{name: "large answer", faults: stand.ServerFaults{Size: 1 << 20}, method: http.MethodPost, path: "/bales/1", status: http.StatusOK, ran: 1},
+		{name: "longer than the caller waits", faults: stand.ServerFaults{Work: 3 * time.Second}, method: http.MethodPost, path: "/bales/1", status: http.StatusGatewayTimeout, ran: 1},
+		{name: "longer than usual, once only", faults: stand.ServerFaults{Work: 1500 * time.Millisecond}, method: http.MethodPost, path: "/bales/1", status: http.StatusOK, ran: 1},
 		{name: "no route", method: http.MethodGet, path: "/lotsy/1", status: http.StatusNotFound},
+		{name: "refuses after a run", faults: stand.ServerFaults{Mute: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusBadGateway, ran: 1},
 		{name: "sheds", faults: stand.ServerFaults{Shed: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusServiceUnavailable},
 		{name: "usual", method: http.MethodPost, path: "/bales/1?lot=%2F12", body: "sacks", status: http.StatusOK, ran: 1},
 	} {
@@ -198,6 +205,21 @@
 	}
 }
 
+// TestFrontBrokenAnswer lets a server break off within a large answer, of which a
+// part was passed on: the caller sees that it is not whole.
+func TestFrontBrokenAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 1, 1)
+	f.all(stand.ServerFaults{Short: true, Size: 4 << 20})
+	id, _, answer, err := f.send(f.fronts[0], http.MethodPost, "/bales/1", "")
+	if err == nil {
+		t.Errorf("%d bytes of a broken answer look complete", len(answer))
+	}
+	if ran := f.ran(id); ran != 1 {
+		t.Errorf("ran %d times, want once", ran)
+	}
+}
+
 // TestFrontLife takes a small fleet through an outage of the store, a new
 // configuration, a leaving server, a killed daemon and a planned stop.
 func TestFrontLife(t *testing.T) {
--- a/stand/server.go
+++ b/stand/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,15 +16,23 @@
 	"dandeliondoor/topo"
 )
 
-// ServerFaults are the faults of a server. Fail answers 500 after the run; Shed
-// refuses before it; Cut breaks the connection after it; Foreign sends an answer
-// to another request first; Work is how long a run takes.
+// ServerFaults are the faults of a server. Before a run, Shed refuses and Moved
+// answers as another server at the address would. After it, Cut breaks the
+// connection, Short breaks it within the body, Fail answers 500, Mute answers 503
+// without saying that nothing ran, Unsigned leaves the signature out, and Foreign
+// sends an answer to another request first. Work is how long a run takes, Size
+// how many bytes the body has at least.
 type ServerFaults struct {
-	Fail    bool
-	Shed    bool
-	Cut     bool
-	Foreign bool
-	Work    time.Duration
+	Cut      bool
+	Fail     bool
+	Foreign  bool
+	Moved    bool
+	Mute     bool
+	Shed     bool
+	Short    bool
+	Unsigned bool
+	Size     int
+	Work     time.Duration
 }
 
 // Server stands in for a server of the platform: it registers itself in the
@@ -92,7 +101,7 @@
 	header.Set(proto.HeaderRequestID, id)
 	header.Set(platform.HeaderLoad, fmt.Sprintf("%d,0,%d", s.count(0), serverSlots))
 	switch expected := r.Header.Get(platform.HeaderInstance); {
-	case expected != "" && expected != s.id:
+	case (expected != "" && expected != s.id) || faults.Moved:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case faults.Shed:
@@ -105,16 +114,30 @@
 		return
 	}
 	s.run(id, r.Method, faults.Work)
-	header.Set(platform.HeaderSignature, "signed-"+id)
+	if !faults.Unsigned {
+		header.Set(platform.HeaderSignature, "signed-"+id)
+	}
+	s.answer(w, id, faults, fmt.Sprintf("%s %s %s %s", s.id, r.Method, r.RequestURI, body))
+}
+
+// answer answers a request that has run.
+func (s *Server) answer(w http.ResponseWriter, id string, faults ServerFaults, text string) {
+	body := strings.Repeat(".", max(faults.Size-len(text), 0)) + text
 	switch {
 	case faults.Cut:
 		panic(http.ErrAbortHandler)
-	case faults.Foreign:
-		s.answerTwice(w, id)
 	case faults.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
+	case faults.Foreign:
+		s.answerTwice(w, id)
+	case faults.Mute:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case faults.Short:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		panic(http.ErrAbortHandler)
 	default:
-		_, _ = fmt.Fprintf(w, "%s %s %s %s", s.id, r.Method, r.RequestURI, body)
+		_, _ = io.WriteString(w, body)
 	}
 }
 
@@ -131,16 +154,17 @@
 	}
 }
 
+// run counts a request, which has run as soon as work on it begins.
 func (s *Server) run(id, method string, work time.Duration) {
 	s.count(1)
 	defer s.count(-1)
-	time.Sleep(work)
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.runs[id]++
 	if method == http.MethodPost {
 		s.posts[id]++
 	}
+	s.mutex.Unlock()
+	time.Sleep(work)
 }
 
 // count adds to the running requests and returns them.
