Let the soak overlap faults and check planned stops and retries

Cause: the soak applied one fault after another, knew no faults between daemons, and did not look at planned stops, the retry budget or callers that leave. Change: faults of a round start at drawn times and overlap; new ones cut the paths between daemons, reset connections, compact the store's topics, and let servers answer without a signature, refuse after a run, break off within a body or answer as another server. A third of the rounds holds planned work alone, in which a request that ran must be answered and none may be lost. New checks: second sends within the sliding window, servers per request, versions that go back during load. Ruled out: a client that repeats requests by itself (request bodies cannot be read again); connections that lost bytes in an earlier round (links are reset).

--- a/config/front.go
+++ b/config/front.go
@@ -27,12 +27,22 @@
 	Logs       FrontLogs        `yaml:"logs"`
 }
 
-// FrontListen are the addresses of the daemon's ports.
+// FrontListen are the addresses of the daemon's ports. Advertise is where other
+// daemons reach the daemons' port, if that is not its own address.
 type FrontListen struct {
 	Callers   netip.AddrPort `yaml:"callers"`
 	Readiness netip.AddrPort `yaml:"readiness"`
 	Daemons   netip.AddrPort `yaml:"daemons"`
 	Operators netip.AddrPort `yaml:"operators"`
+	Advertise netip.AddrPort `yaml:"advertise"`
+}
+
+// Reached returns the address at which other daemons reach this one.
+func (l FrontListen) Reached() netip.AddrPort {
+	if l.Advertise.IsValid() {
+		return l.Advertise
+	}
+	return l.Daemons
 }
 
 // Store says where the platform's store is, how long a call may take, and how
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -112,7 +112,7 @@
 
 func (f *Front) newFeed(around Surroundings, peers *wire.Peers, seed uint64) *feed.Service {
 	self := topo.Daemon{
-		Name: f.settings.Name, Zone: f.settings.Zone, Address: f.settings.Listen.Daemons,
+		Name: f.settings.Name, Zone: f.settings.Zone, Address: f.settings.Listen.Reached(),
 		Capacity: topo.Capacity(f.settings.Cores, f.settings.LinkMbps),
 	}
 	return feed.New(self, around.Sources, peers, feed.Settings{
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -1,9 +1,9 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
@@ -13,23 +13,32 @@
 // Fault is one trouble of a round.
 type Fault interface{ isFault() }
 
-// The kinds of faults. Each names its target by number; the times are how long
-// it lasts.
+// The kinds of faults. Each names its target by number; what has no period lasts
+// until the end of the round.
 type (
-	// CutStore drops what goes between a daemon and the store, one way or both.
+	// CompactStore deletes the store's history but for the newest of each key.
+	CompactStore struct{}
+	// CutDaemon spoils the path on which other daemons reach a daemon.
+	CutDaemon struct {
+		Daemon int
+		Faults stand.LinkFaults
+	}
+	// CutStore spoils the path between a daemon and the store.
 	CutStore struct {
-		Daemon            int
-		Forward, Backward bool
+		Daemon int
+		Faults stand.LinkFaults
 	}
 	// DrainServer lets a server drain and come back at the end of the round.
 	DrainServer struct{ Server int }
 	// Pause stops a daemon's process and lets it go on.
 	Pause struct {
 		Daemon int
-		For    time.Duration
+		Period time.Duration
 	}
 	// Publish stores a new configuration.
 	Publish struct{}
+	// ResetLinks resets the open connections to a daemon and a server.
+	ResetLinks struct{ Daemon, Server int }
 	// Restart ends a daemon by a signal and starts it again.
 	Restart struct {
 		Daemon int
@@ -40,113 +49,135 @@
 		Server int
 		Faults stand.ServerFaults
 	}
+	// SickService gives all servers a fault.
+	SickService struct{ Faults stand.ServerFaults }
 	// SickStore gives the store a fault.
 	SickStore struct{ Faults stand.StoreFaults }
-	// SlowLink delays or cuts the path to a server.
-	SlowLink struct {
+	// SlowServer spoils the path to a server.
+	SlowServer struct {
 		Server int
 		Faults stand.LinkFaults
 	}
 )
 
-func (CutStore) isFault()    {}
-func (DrainServer) isFault() {}
-func (Pause) isFault()       {}
-func (Publish) isFault()     {}
-func (Restart) isFault()     {}
-func (SickServer) isFault()  {}
-func (SickStore) isFault()   {}
-func (SlowLink) isFault()    {}
+func (CompactStore) isFault() {}
+func (CutDaemon) isFault()    {}
+func (CutStore) isFault()     {}
+func (DrainServer) isFault()  {}
+func (Pause) isFault()        {}
+func (Publish) isFault()      {}
+func (ResetLinks) isFault()   {}
+func (Restart) isFault()      {}
+func (SickServer) isFault()   {}
+func (SickService) isFault()  {}
+func (SickStore) isFault()    {}
+func (SlowServer) isFault()   {}
+
+// event is a fault and when in its round it comes.
+type event struct {
+	fault Fault
+	after time.Duration
+}
+
+// The shape of a round.
+const (
+	maxEvents = 4
+	// maxAfter is the latest start of a fault within its round.
+	maxAfter = 2 * time.Second
+	// plannedPart is how many rounds there are for each one that holds planned
+	// work alone.
+	plannedPart = 3
+	minPause    = 200 * time.Millisecond
+	maxPause    = 2 * time.Second
+)
+
+// drawRound returns the events of a round, and whether all are planned work, by
+// which no request may be lost.
+func drawRound(random *rand.Rand, daemons, servers int) (events []event, planned bool) {
+	planned = random.IntN(plannedPart) == 0
+	for range 1 + random.IntN(maxEvents) {
+		fault := draw(random, daemons, servers)
+		if planned {
+			fault = drawPlanned(random, daemons, servers)
+		}
+		events = append(events, event{fault: fault, after: time.Duration(random.Int64N(int64(maxAfter)))})
+	}
+	return events, planned
+}
+
+func drawPlanned(random *rand.Rand, daemons, servers int) Fault {
+	switch random.IntN(4) {
+	case 0:
+		return DrainServer{Server: random.IntN(servers)}
+	case 1:
+		return Publish{}
+	default:
+		return Restart{Daemon: random.IntN(daemons), Signal: syscall.SIGTERM}
+	}
+}
 
 // draw returns a random fault for a fleet of that size.
 func draw(random *rand.Rand, daemons, servers int) Fault {
 	d, s := random.IntN(daemons), random.IntN(servers)
-	switch random.IntN(8) {
+	switch random.IntN(12) {
 	case 0:
-		forward := random.IntN(2) == 0
-		return CutStore{Daemon: d, Forward: forward, Backward: !forward || random.IntN(2) == 0}
+		return CompactStore{}
 	case 1:
-		return DrainServer{Server: s}
+		return CutDaemon{Daemon: d, Faults: drawLink(random)}
 	case 2:
-		return Pause{Daemon: d, For: time.Duration(200+random.IntN(1800)) * time.Millisecond}
+		return CutStore{Daemon: d, Faults: drawLink(random)}
 	case 3:
-		return Publish{}
+		return DrainServer{Server: s}
 	case 4:
-		return Restart{Daemon: d, Signal: []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[random.IntN(2)]}
+		return Pause{Daemon: d, Period: minPause + time.Duration(random.Int64N(int64(maxPause-minPause)))}
 	case 5:
-		return SickServer{Server: s, Faults: []stand.ServerFaults{
-			{Cut: true}, {Fail: true}, {Foreign: true}, {Shed: true}, {Work: time.Second},
-		}[random.IntN(5)]}
+		return Publish{}
 	case 6:
+		return ResetLinks{Daemon: d, Server: s}
+	case 7:
+		return Restart{Daemon: d, Signal: []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[random.IntN(2)]}
+	case 8:
+		return SickServer{Server: s, Faults: drawSickness(random)}
+	case 9:
+		return SickService{Faults: drawSickness(random)}
+	case 10:
 		return SickStore{Faults: []stand.StoreFaults{
 			{DropAnswers: true}, {Refuse: true}, {Silent: true}, {Delay: 300 * time.Millisecond},
 		}[random.IntN(4)]}
 	default:
-		return SlowLink{Server: s, Faults: []stand.LinkFaults{
-			{DropForward: true}, {DropBackward: true}, {Delay: 200 * time.Millisecond},
-		}[random.IntN(3)]}
+		return SlowServer{Server: s, Faults: drawLink(random)}
 	}
 }
 
-// apply makes a fault happen; what lasts ends with heal.
-func (f *fleet) apply(ctx context.Context, fault Fault) error {
-	now := time.Now()
-	switch fault := fault.(type) {
-	case CutStore:
-		f.daemons[fault.Daemon].link.Faults.Set(stand.LinkFaults{DropForward: fault.Forward, DropBackward: fault.Backward})
-	case DrainServer:
-		s := f.servers[fault.Server]
-		s.draining, s.drained = true, now
-		return s.Register(f.store, true)
-	case Pause:
-		d := f.daemons[fault.Daemon]
-		if err := d.signal(syscall.SIGSTOP); err != nil {
-			return err
-		}
-		sleep(ctx, fault.For)
-		return d.signal(syscall.SIGCONT)
-	case Publish:
-		return f.publish()
-	case Restart:
-		return f.restart(f.daemons[fault.Daemon], fault.Signal)
-	case SickServer:
-		f.servers[fault.Server].Faults.Set(fault.Faults)
-	case SickStore:
-		f.store.Faults.Set(fault.Faults)
-	case SlowLink:
-		f.servers[fault.Server].link.Faults.Set(fault.Faults)
-	}
-	return nil
+func drawSickness(random *rand.Rand) stand.ServerFaults {
+	return []stand.ServerFaults{
+		{Cut: true},
+		{Fail: true},
+		{Foreign: true},
+		{Moved: true},
+		{Mute: true},
+		{Shed: true},
+		{Short: true, Size: 1 << 20},
+		{Unsigned: true},
+		{Work: time.Second},
+		{Work: 3 * time.Second},
+	}[random.IntN(10)]
 }
 
-// heal ends all faults that last.
-func (f *fleet) heal() error {
-	f.store.Faults.Set(stand.StoreFaults{})
-	for _, d := range f.daemons {
-		d.link.Faults.Set(stand.LinkFaults{})
-	}
-	for _, s := range f.servers {
-		s.Faults.Set(stand.ServerFaults{})
-		s.link.Faults.Set(stand.LinkFaults{})
-		if !s.draining {
-			continue
-		}
-		s.draining = false
-		if err := s.Register(f.store, false); err != nil {
-			return err
-		}
-	}
-	return nil
+func drawLink(random *rand.Rand) stand.LinkFaults {
+	return []stand.LinkFaults{
+		{DropForward: true, DropBackward: true},
+		{DropForward: true},
+		{DropBackward: true},
+		{Delay: 200 * time.Millisecond},
+	}[random.IntN(4)]
 }
 
-// describe names faults for the report.
-func describe(faults []Fault) string { return fmt.Sprintf("%+v", faults) }
-
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+// describe names the events of a round for the report.
+func describe(events []event) string {
+	names := make([]string, len(events))
+	for i, e := range events {
+		names[i] = fmt.Sprintf("%T%+v after %s", e.fault, e.fault, e.after.Round(time.Millisecond))
 	}
+	return strings.Join(names, ", ")
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -26,10 +26,18 @@
 var zones = []string{"medina", "jdid"}
 
 const (
-	service   = "souk"
-	host      = "souk.example"
-	drainDue  = 2 * time.Second
-	stopLimit = 6 * time.Second
+	service     = "souk"
+	host        = "souk.example"
+	serverTopic = platform.ServerTopic
+	configTopic = platform.OperatorTopic
+	drainDue    = 2 * time.Second
+	stopLimit   = 6 * time.Second
+	// attempts is how many servers may get one request.
+	attempts = 2
+	// The bound of second sends, which is low so that sick servers reach it.
+	retryRatio  = 0.2
+	retryWindow = 10 * time.Second
+	retrySlack  = 20
 )
 
 // fleet is the daemons as processes, and the stand-ins in this process.
@@ -39,31 +47,37 @@
 	store   *stand.Store
 	servers []*server
 	daemons []*daemon
+
+	mutex   sync.Mutex
 	version uint64
 }
 
-// server is a stand-in of a server behind a link.
+// server is a stand-in of a server behind a link; drained is when it reported
+// that it leaves, zero if it does not.
 type server struct {
 	*stand.Server
 
-	link     *stand.Link
-	drained  time.Time
-	draining bool
+	link    *stand.Link
+	drained time.Time
 }
 
-// daemon is one process of the fleet, with its own link to the store. Newest is
-// the version that this incarnation was seen to serve.
+// daemon is one process of the fleet, with links of its own to the store and
+// from the other daemons. Starts counts its incarnations.
 type daemon struct {
 	name    string
 	callers netip.AddrPort
 	file    string
-	link    *stand.Link
+	store   *stand.Link
+	peers   *stand.Link
 	client  *http.Client
 
+	// ending is held while the process is paused or restarted.
+	ending sync.Mutex
+
 	mutex   sync.Mutex
 	command *exec.Cmd
 	ended   chan error
-	newest  uint64
+	starts  int
 }
 
 func newFleet(ctx context.Context, options Options) (*fleet, error) {
@@ -127,26 +141,34 @@
 }
 
 func (f *fleet) addDaemon(ctx context.Context, i int, store netip.AddrPort) error {
-	link, near, err := f.through(ctx, store)
-	if err != nil {
-		return err
-	}
-	d := &daemon{name: fmt.Sprintf("front-%d", i), link: link}
-	d.file = filepath.Join(f.options.Directory, d.name+".yaml")
+	d := &daemon{name: fmt.Sprintf("front-%d", i)}
 	ports := make([]netip.AddrPort, 4)
 	for j := range ports {
-		if ports[j], err = freePort(); err != nil {
+		port, err := freePort()
+		if err != nil {
 			return err
 		}
+		ports[j] = port
 	}
 	d.callers = ports[0]
 	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: f.options.Callers}}
+	var toStore, advertised netip.AddrPort
+	var err error
+	if d.store, toStore, err = f.through(ctx, store); err != nil {
+		return err
+	}
+	if d.peers, advertised, err = f.through(ctx, ports[2]); err != nil {
+		return err
+	}
+	d.file = filepath.Join(f.options.Directory, d.name+".yaml")
 	text := fmt.Sprintf(`name: %s
 zone: %s
-listen: {callers: %s, readiness: %s, daemons: %s, operators: %s}
+listen: {callers: %s, readiness: %s, daemons: %s, operators: %s, advertise: %s}
 store: {address: %s, drain_due: %s}
+retries: {ratio: %v, window: %s, slack: %d}
 stop: {balancer_lag: 500ms, limit: %s}
-`, d.name, zones[i%len(zones)], ports[0], ports[1], ports[2], ports[3], near, drainDue, stopLimit)
+`, d.name, zones[i%len(zones)], ports[0], ports[1], ports[2], ports[3], advertised,
+		toStore, drainDue, retryRatio, retryWindow, retrySlack, stopLimit)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
@@ -177,7 +199,8 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.command, d.ended, d.newest = command, make(chan error, 1), 0
+	d.command, d.ended = command, make(chan error, 1)
+	d.starts++
 	go func(ended chan<- error) { ended <- command.Wait() }(d.ended)
 	return nil
 }
@@ -189,8 +212,17 @@
 	return d.command.Process.Signal(signal)
 }
 
+// incarnation returns the number of the daemon's present process.
+func (d *daemon) incarnation() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.starts
+}
+
 // restart signals a daemon's end, waits for it, and starts the daemon again.
 func (f *fleet) restart(d *daemon, signal syscall.Signal) error {
+	d.ending.Lock()
+	defer d.ending.Unlock()
 	if err := d.signal(signal); err != nil {
 		return errors.Wrap(err, "signal daemon")
 	}
@@ -203,6 +235,8 @@
 // publish stores the next version of the configuration: the route of the version
 // before is gone.
 func (f *fleet) publish() error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.version++
 	target := []topo.Target{{Service: service, Weight: 1}}
 	config := &topo.Config{Version: f.version, Limits: topo.Limits{BodyBytes: 1 << 20}}
@@ -216,7 +250,7 @@
 	} {
 		config.Routes = append(config.Routes, topo.Route{
 			Name: route.name, Host: host, Prefix: "/" + route.name + "/", Idempotent: route.idempotent,
-			Timeout: 2 * time.Second, Objective: time.Second, Attempts: 2, Targets: target,
+			Timeout: 2 * time.Second, Objective: time.Second, Attempts: attempts, Targets: target,
 		})
 	}
 	data, err := platform.EncodeConfig(config)
@@ -227,6 +261,13 @@
 	return nil
 }
 
+// newest returns the version that was stored last.
+func (f *fleet) newest() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.version
+}
+
 func versionRoute(version uint64) string { return fmt.Sprintf("v%d", version) }
 
 // end stops all processes and waits for the stand-ins.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -28,11 +27,8 @@
 
 // The times of a round.
 const (
-	// faultTime is how long faults last, and maxFaultPause the longest wait
-	// between two of a round.
-	faultTime     = 3 * time.Second
-	maxFaultPause = 1500 * time.Millisecond
-	maxFaults     = 3
+	// faultTime is how long faults last after the latest one began.
+	faultTime = 3 * time.Second
 	// recoveryDue is within which all daemons serve again after the faults. It
 	// is the platform's 15 s, for machines that are busy with other work.
 	recoveryDue = 15 * time.Second
@@ -65,51 +61,57 @@
 	}
 	l := &ledger{}
 	err = f.rounds(ctx, l)
-	f.checkRuns(l)
-	err = errors.Join(err, f.end(cancel))
-	return Report{Served: l.served, Unserved: l.unserved, Findings: l.findings}, err
+	l.verify(f.servers)
+	return l.report(), errors.Join(err, f.end(cancel))
 }
 
 func (f *fleet) rounds(ctx context.Context, l *ledger) error {
 	random := rand.New(rand.NewPCG(f.options.Seed, f.options.Seed))
 	f.recover(ctx, l, "start")
 	for round := range f.options.Rounds {
-		faults := make([]Fault, 1+random.IntN(maxFaults))
-		pauses := make([]time.Duration, len(faults))
-		for i := range faults {
-			faults[i] = draw(random, len(f.daemons), len(f.servers))
-			pauses[i] = time.Duration(random.Int64N(int64(maxFaultPause)))
-		}
-		name := fmt.Sprintf("seed %d, round %d, %s", f.options.Seed, round, describe(faults))
-		if err := f.round(ctx, l, faults, pauses, name); err != nil {
+		events, planned := drawRound(random, len(f.daemons), len(f.servers))
+		name := fmt.Sprintf("seed %d, round %d, %s", f.options.Seed, round, describe(events))
+		if err := f.round(ctx, l, events, planned, name); err != nil {
 			return errors.Wrap(err, name)
 		}
 	}
 	return nil
 }
 
-// round applies faults under load, heals them, and waits for the service.
-func (f *fleet) round(ctx context.Context, l *ledger, faults []Fault, pauses []time.Duration, name string) error {
+// round lets events overlap under load, heals them, and waits for the service.
+func (f *fleet) round(ctx context.Context, l *ledger, events []event, planned bool, name string) error {
 	loadCtx, stop := context.WithCancel(ctx)
-	var callers []<-chan error
+	var ends []<-chan error
 	for i := range f.options.Callers {
-		callers = append(callers, kernel.Run(loadCtx, func(ctx context.Context) error { return f.load(ctx, l, i) }))
-	}
-	var failures []error
-	for i, fault := range faults {
-		failures = append(failures, f.apply(ctx, fault))
-		sleep(ctx, pauses[i])
+		ends = append(ends, kernel.Run(loadCtx, func(ctx context.Context) error { return f.load(ctx, l, i, planned) }))
 	}
+	failure := f.play(ctx, events)
 	sleep(ctx, faultTime)
-	if len(faults) == 1 {
+	if len(events) == 1 {
 		f.checkDrain(ctx, l, name)
 	}
-	failures = append(failures, f.heal())
+	failure = errors.Join(failure, f.heal())
 	stop()
-	for _, end := range callers {
-		failures = append(failures, <-end)
+	for _, end := range ends {
+		failure = errors.Join(failure, <-end)
 	}
 	f.recover(ctx, l, name)
+	return failure
+}
+
+// play starts each event at its time and waits for all.
+func (f *fleet) play(ctx context.Context, events []event) error {
+	var ends []<-chan error
+	for _, e := range events {
+		ends = append(ends, kernel.Run(ctx, func(ctx context.Context) error {
+			sleep(ctx, e.after)
+			return f.apply(ctx, e.fault)
+		}))
+	}
+	var failures []error
+	for _, end := range ends {
+		failures = append(failures, <-end)
+	}
 	return errors.Join(failures...)
 }
 
@@ -117,13 +119,13 @@
 // no further request.
 func (f *fleet) checkDrain(ctx context.Context, l *ledger, name string) {
 	for _, s := range f.servers {
-		if !s.draining {
+		if s.drained.IsZero() {
 			continue
 		}
 		sleep(ctx, time.Until(s.drained.Add(drainDue+drainSlack)))
-		before := len(s.Runs())
+		before := len(s.Arrivals())
 		sleep(ctx, drainDue)
-		if after := len(s.Runs()); after != before {
+		if after := len(s.Arrivals()); after != before {
 			l.find("%s: a draining server got %d requests", name, after-before)
 		}
 	}
@@ -133,9 +135,9 @@
 func (f *fleet) recover(ctx context.Context, l *ledger, name string) {
 	due := time.Now().Add(recoveryDue)
 	for _, d := range f.daemons {
-		for !f.current(ctx, l, d, name) {
+		for !f.serves(ctx, l, d) {
 			if time.Now().After(due) {
-				l.find("%s: %s does not serve version %d after %s", name, d.name, f.version, recoveryDue)
+				l.find("%s: %s does not serve version %d after %s", name, d.name, f.newest(), recoveryDue)
 				break
 			}
 			sleep(ctx, recheck)
@@ -143,41 +145,8 @@
 	}
 }
 
-// current reports whether a daemon serves the newest configuration; one that
-// served it must not serve an older one.
-func (f *fleet) current(ctx context.Context, l *ledger, d *daemon, name string) bool {
-	if f.version > 1 && d.newest == f.version {
-		if status := l.call(ctx, d, http.MethodGet, "/"+versionRoute(f.version-1)+"/a"); status == http.StatusOK {
-			l.find("%s: %s went back from version %d", name, d.name, d.newest)
-		}
-	}
-	if l.call(ctx, d, http.MethodGet, "/"+versionRoute(f.version)+"/a") != http.StatusOK {
-		return false
-	}
-	d.newest = f.version
-	return l.call(ctx, d, http.MethodPost, "/bales/a") == http.StatusOK
-}
-
-// checkRuns compares the runs of all servers with what callers were told.
-func (f *fleet) checkRuns(l *ledger) {
-	total := make(map[string]int)
-	for _, s := range f.servers {
-		for id, count := range s.Runs() {
-			total[id] += count
-		}
-	}
-	for _, s := range f.servers {
-		for id, count := range s.UnsafeRuns() {
-			if count > 1 || total[id] > 1 {
-				l.find("request %s, which may run once, ran %d times", id, total[id])
-			}
-		}
-	}
-	for _, id := range l.refused {
-		if total[id] > 0 {
-			l.find("request %s was refused and has run", id)
-		}
-	}
-	slices.Sort(l.findings)
-	l.findings = slices.Compact(l.findings)
+// serves reports whether a daemon serves both kinds of requests by the newest
+// configuration.
+func (f *fleet) serves(ctx context.Context, l *ledger, d *daemon) bool {
+	return f.probe(ctx, l, d) && l.send(ctx, d, call{method: http.MethodPost}, "/bales/a", 0) == http.StatusOK
 }
--- a/stand/link.go
+++ b/stand/link.go
@@ -29,11 +29,42 @@
 	Faults Switch[LinkFaults]
 
 	target netip.AddrPort
+
+	mutex sync.Mutex
+	open  map[net.Conn]struct{}
 }
 
 // NewLink returns a path to the target.
 func NewLink(target netip.AddrPort) *Link {
-	return &Link{target: target}
+	return &Link{target: target, open: make(map[net.Conn]struct{})}
+}
+
+// Reset resets all open connections.
+func (l *Link) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for conn := range l.open {
+		if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+func (l *Link) track(conns ...net.Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, conn := range conns {
+		l.open[conn] = struct{}{}
+	}
+}
+
+func (l *Link) forget(conns ...net.Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, conn := range conns {
+		delete(l.open, conn)
+	}
 }
 
 // Control returns the port over which faults are switched.
@@ -55,6 +86,8 @@
 		return
 	}
 	defer far.Close()
+	l.track(near, far)
+	defer l.forget(near, far)
 	stop := context.AfterFunc(ctx, func() {
 		_ = near.Close()
 		_ = far.Close()
--- a/stand/server.go
+++ b/stand/server.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,13 @@
 	running  int
 	runs     map[string]int
 	posts    map[string]int
+	arrivals []Arrival
+}
+
+// Arrival is a request that reached a server, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
 }
 
 // NewServer returns a server with an address, which its owner serves.
@@ -86,6 +94,13 @@
 	return maps.Clone(s.runs)
 }
 
+// Arrivals returns all requests in the order in which they came.
+func (s *Server) Arrivals() []Arrival {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
 // UnsafeRuns returns how often each request with the method POST ran.
 func (s *Server) UnsafeRuns() map[string]int {
 	s.mutex.Lock()
@@ -96,6 +111,7 @@
 // ServeHTTP runs one request by the platform's protocol.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(proto.HeaderRequestID)
+	s.arrive(id)
 	faults := s.Faults.Get()
 	header := w.Header()
 	header.Set(proto.HeaderRequestID, id)
@@ -154,6 +170,12 @@
 	}
 }
 
+func (s *Server) arrive(id string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.arrivals = append(s.arrivals, Arrival{ID: id, At: time.Now()})
+}
+
 // run counts a request, which has run as soon as work on it begins.
 func (s *Server) run(id, method string, work time.Duration) {
 	s.count(1)
