Test the guards of a pool that no test failed without

Cause: guards were taken out one by one on a scratch copy; ten of those in choose left all tests green, TestDraining and TestRestarted among them, because one request at a time never needs the server in question. Change: tests that fill pools and run requests side by side.

--- a/choose/pool_test.go
+++ b/choose/pool_test.go
@@ -68,6 +68,36 @@
 	return granted.Server
 }
 
+// fill asks until nothing more is given and returns what each server got.
+func (r *rig) fill(exclude []string) map[string]int {
+	const enough = 100
+	given := make(map[string]int)
+	for range enough {
+		granted, isGranted := r.ask(func(ask *choose.Ask) { ask.Exclude = exclude }).(choose.Granted)
+		if !isGranted {
+			break
+		}
+		given[granted.Server]++
+	}
+	return given
+}
+
+// only sends a request to one server of some and ends it with an outcome.
+func (r *rig) only(server, count int, outcome choose.Outcome) {
+	var others []string
+	for i := range count {
+		if i != server {
+			others = append(others, fmt.Sprintf("i-%02d", i))
+		}
+	}
+	granted := r.ask(func(ask *choose.Ask) { ask.Exclude = others }).(choose.Granted)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.pool.Release(r.now, choose.Release{
+		Daemon: "front-1", Ticket: r.ticket, Server: granted.Server, Outcome: outcome,
+		Duration: 100 * time.Millisecond, Running: -1,
+	})
+}
+
 // TestFailingServer lets one of four servers fail: after its first failure it
 // gets nothing for some seconds.
 func TestFailingServer(t *testing.T) {
@@ -88,28 +118,114 @@
 	}
 }
 
-// TestDraining lets a server drain: it gets nothing more.
+// TestDraining lets a server drain: it gets nothing more, however full the others
+// are.
 func TestDraining(t *testing.T) {
 	t.Parallel()
 	r := newRig(3)
 	list := servers(3)
 	list[1].Draining = true
 	r.pool.SetServers(r.now, list)
-	for range 200 {
-		if got := r.run(func(string) choose.Outcome { return choose.Served }); got == "i-01" {
-			t.Fatal("a draining server got a request")
-		}
+	given := r.fill(nil)
+	if given["i-01"] > 0 || given["i-00"] == 0 || given["i-02"] == 0 {
+		t.Errorf("given %v; i-01 drains", given)
 	}
 }
 
-// TestRestarted starts a server again under its ID: what was known of the old
-// one does not count.
-func TestRestarted(t *testing.T) {
+// TestExcluded names servers that must not get a request.
+func TestExcluded(t *testing.T) {
+	t.Parallel()
+	r := newRig(3)
+	given := r.fill([]string{"i-00", "i-02"})
+	if len(given) != 1 || given["i-01"] == 0 {
+		t.Errorf("given %v; only i-01 may be", given)
+	}
+}
+
+// TestFull fills a server: what is beyond its queue is refused, with a time after
+// which a slot may be free.
+func TestFull(t *testing.T) {
 	t.Parallel()
 	r := newRig(1)
+	if given := r.fill(nil)["i-00"]; given != 9 {
+		t.Errorf("a server with 3 slots got %d requests at once, want 9", given)
+	}
+	refused, isRefused := r.ask(nil).(choose.Refused)
+	if !isRefused || refused.Reason != choose.ReasonOverload || refused.RetryAfter <= 0 {
+		t.Errorf("got %+v", refused)
+	}
+}
+
+// TestLostReports forgets attempts whose end is never reported, some time after
+// their deadline.
+func TestLostReports(t *testing.T) {
+	t.Parallel()
+	r := newRig(1)
+	r.fill(nil)
+	r.now = r.now.Add(3 * time.Second)
+	if _, isGranted := r.ask(nil).(choose.Granted); !isGranted {
+		t.Error("attempts that are long over still hold their slots")
+	}
+}
+
+// TestOverdue lets a server hold requests for far longer than they take: others
+// are preferred before the caller's deadline shows a failure.
+func TestOverdue(t *testing.T) {
+	t.Parallel()
+	r := newRig(2)
+	held := r.ask(nil).(choose.Granted).Server
+	r.now = r.now.Add(time.Second)
+	for range 5 {
+		if got := r.run(func(string) choose.Outcome { return choose.Served }); got == held {
+			t.Fatal("a server that holds a request got another one")
+		}
+	}
+}
+
+// TestShedPause leaves a server alone for a while that refused a request though
+// it had less to do than others.
+func TestShedPause(t *testing.T) {
+	t.Parallel()
+	r := newRig(2)
 	for range 5 {
-		r.run(func(string) choose.Outcome { return choose.Failed })
+		r.ask(func(ask *choose.Ask) { ask.Exclude = []string{"i-00"} })
 	}
+	for range 4 {
+		r.ask(func(ask *choose.Ask) { ask.Exclude = []string{"i-01"} })
+	}
+	r.pool.Release(r.now, choose.Release{Daemon: "front-1", Ticket: r.ticket, Server: "i-00", Outcome: choose.Shed, Running: -1})
+	if got := r.ask(nil).(choose.Granted).Server; got != "i-01" {
+		t.Errorf("%s got a request right after it refused one", got)
+	}
+}
+
+// TestProbe lets a server fail once: only a request that can be repeated finds
+// out some seconds later whether it is sound again.
+func TestProbe(t *testing.T) {
+	t.Parallel()
+	const count = 10
+	r := newRig(count)
+	r.only(0, count, choose.Failed)
+	for range 3 {
+		for i := 1; i < count; i++ {
+			r.only(i, count, choose.Served)
+		}
+	}
+	if got := r.ask(nil).(choose.Granted).Server; got == "i-00" {
+		t.Error("a request that may run once went to a server that failed")
+	}
+	got := r.ask(func(ask *choose.Ask) { ask.Probe = true }).(choose.Granted).Server
+	if got != "i-00" {
+		t.Errorf("a request that can be repeated went to %s, want i-00", got)
+	}
+}
+
+// TestRestarted starts a server again under its ID: what the old one held does
+// not count.
+func TestRestarted(t *testing.T) {
+	t.Parallel()
+	r := newRig(1)
+	r.fill(nil)
 	list := servers(1)
 	list[0].Born = 2
 	r.pool.SetServers(r.now, list)
@@ -209,6 +325,19 @@
 	}
 }
 
+// TestGivenBack asks for second sends that find no server: they do not use the
+// budget up.
+func TestGivenBack(t *testing.T) {
+	t.Parallel()
+	r := newRig(2)
+	for range 100 {
+		r.ask(func(ask *choose.Ask) { ask.Repeat, ask.Exclude = true, []string{"i-00", "i-01"} })
+	}
+	if _, isGranted := r.ask(func(ask *choose.Ask) { ask.Repeat = true }).(choose.Granted); !isGranted {
+		t.Error("the budget is used up by second sends that were not made")
+	}
+}
+
 // TestCrashingContent loses the connection of one content again and again: it is
 // refused after the third loss, and other contents are not.
 func TestCrashingContent(t *testing.T) {
@@ -236,28 +365,64 @@
 	}
 }
 
-// TestSilentServer lets one of four servers lose three in ten answers, spread
-// among others that are served: it gets a small part of the work.
+// held is a request that a server has.
+type held struct {
+	ticket uint64
+	server string
+	probe  bool
+}
+
+// TestSilentServer lets one server lose a quarter of its answers under load. Work
+// that can be repeated shows again and again that it answers; of what may run
+// once, at most one request in 200 is lost.
 func TestSilentServer(t *testing.T) {
 	t.Parallel()
-	r := newRig(4)
-	silent, count := 0, 0
-	for i := range 300 {
-		got := r.run(func(server string) choose.Outcome {
-			if server != "i-00" {
-				return choose.Served
+	for _, test := range []struct {
+		name    string
+		servers int
+		atOnce  int
+	}{
+		{name: "eight servers", servers: 8, atOnce: 16},
+		{name: "four servers", servers: 4, atOnce: 8},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			const asks, shareLost = 6000, 200
+			r := newRig(test.servers)
+			var open []held
+			answers, lost, onceOnly := 0, 0, 0
+			for i := range asks {
+				probe := i%3 == 0
+				if granted, isGranted := r.ask(func(ask *choose.Ask) { ask.Probe = probe }).(choose.Granted); isGranted {
+					open = append(open, held{ticket: r.ticket, server: granted.Server, probe: probe})
+				}
+				r.now = r.now.Add(100 * time.Millisecond / time.Duration(test.atOnce))
+				if len(open) < test.atOnce {
+					continue
+				}
+				ended := open[0]
+				open = open[1:]
+				outcome := choose.Served
+				if ended.server == "i-00" {
+					answers++
+				}
+				if ended.server == "i-00" && answers%4 == 0 {
+					outcome = choose.Lost
+				}
+				if !ended.probe {
+					onceOnly++
+				}
+				if !ended.probe && outcome == choose.Lost {
+					lost++
+				}
+				r.pool.Release(r.now, choose.Release{
+					Daemon: "front-1", Ticket: ended.ticket, Server: ended.server, Outcome: outcome,
+					Duration: 100 * time.Millisecond, Running: -1,
+				})
 			}
-			count++
-			if count%10 == 3 || count%10 == 6 || count%10 == 9 {
-				return choose.Lost
+			if lost > onceOnly/shareLost {
+				t.Errorf("%d of %d requests that may run once were lost", lost, onceOnly)
 			}
-			return choose.Served
 		})
-		if got == "i-00" && i >= 100 {
-			silent++
-		}
-	}
-	if silent > 200/8 {
-		t.Errorf("the silent server got %d of 200 requests", silent)
 	}
 }
