Hold callers to the configured size of heads and times

Cause: of the configuration's limits only that of bodies held; heads were bounded by a fixed 64 KiB, and connections waited for fixed times. Change: a head above the limit is answered 431; a connection that waits for its first request longer than header_timeout, or between requests longer than idle_timeout, is closed. net/http's own bounds stay as the upper ones. Two conditions that could never decide are gone (a refusal after a request may have run is the fleet's 502 already; a kept connection has no unread bytes). Ruled out: settings of http.Server, which cannot change while it serves.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -204,9 +204,6 @@
 
 // refusal returns the answer for a request that no server could take.
 func (e *exchange) refusal() ownAnswer {
-	if e.history.MayHaveRun() {
-		return ownAnswer{status: http.StatusBadGateway, reason: reasonNoAnswer}
-	}
 	return ownAnswer{
 		status: http.StatusServiceUnavailable, reason: reasonNoServer,
 		retryAfter: max(e.refused.RetryAfter, shedRetryAfter),
--- a/front/handler.go
+++ b/front/handler.go
@@ -96,6 +96,10 @@
 	case e.id == "":
 		return ownAnswer{status: http.StatusBadRequest, reason: reasonNoID}, true
 	}
+	limits := view.Table.Config.Limits
+	if limits.HeaderBytes > 0 && headBytes(r) > limits.HeaderBytes {
+		return ownAnswer{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeadLarge}, true
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	e.route = view.Table.Find(r.Host, path)
 	e.version = view.Table.Config.Version
@@ -110,7 +114,19 @@
 		left = e.route.Timeout
 	}
 	e.deadline = e.arrived.Add(left)
-	return h.readBody(e, view.Table.Config.Limits.BodyBytes)
+	return h.readBody(e, limits.BodyBytes)
+}
+
+// headBytes returns about how many bytes the head of a request had.
+func headBytes(r *http.Request) int {
+	const separators, line = 4, 12
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + line
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
 }
 
 // The wait for a view by requests that reach a daemon right after its start.
--- a/front/own.go
+++ b/front/own.go
@@ -18,6 +18,7 @@
 	reasonBodyBroken  reason = "request_body_broken"
 	reasonBodyLarge   reason = "request_body_too_large"
 	reasonDeadline    reason = "deadline"
+	reasonHeadLarge   reason = "request_head_too_large"
 	reasonLeaving     reason = "daemon_is_stopping"
 	reasonNoAnswer    reason = "no_answer"
 	reasonNoID        reason = "no_request_id"
--- a/front/service.go
+++ b/front/service.go
@@ -17,7 +17,7 @@
 // Name is the name under which other services find the callers' port.
 const Name = "front"
 
-// sweepInterval is how often kept connections are looked through.
+// sweepInterval is how often open connections are looked through.
 const sweepInterval = 500 * time.Millisecond
 
 // Service serves callers on one listener and drains without cutting a request.
@@ -60,7 +60,7 @@
 	}), nil
 }
 
-// sweep closes kept connections whose time is over.
+// sweep closes connections of callers and kept ones to servers whose time is over.
 func (s *Service) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -70,6 +70,10 @@
 			return nil
 		case now := <-ticker.C:
 			view := s.handler.views.View()
+			if view.Table != nil {
+				limits := view.Table.Config.Limits
+				s.server.Sweep(now, httpd.Limits{HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout})
+			}
 			s.handler.conns.Sweep(now, func(target upconn.Target) bool {
 				server, known := view.Servers[target.ID]
 				return known && server.Born == target.Born && !server.Draining
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -11,7 +11,9 @@
 
 // The bounds of a connection of a caller.
 const (
-	maxHeaderBytes    = 64 << 10
+	// maxHeaderBytes is what net/http reads at most; a lower bound is the
+	// handler's.
+	maxHeaderBytes    = 1 << 20
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 )
@@ -20,6 +22,7 @@
 type Server struct {
 	server   *http.Server
 	listener net.Listener
+	waiting  *waiting
 }
 
 // Option changes a server at its construction.
@@ -43,7 +46,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	s := &Server{server: server, listener: listener}
+	s := &Server{server: server, listener: listener, waiting: newWaiting()}
+	server.ConnState = s.waiting.note
 	for _, option := range options {
 		option(s)
 	}
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -43,7 +43,7 @@
 	file      string
 }
 
-// frontConfig returns a configuration whose second route has the given prefix.
+// frontConfig returns a configuration whose last route has the given prefix.
 func frontConfig(version uint64, prefix string) *topo.Config {
 	souk := []topo.Target{{Service: "souk", Weight: 1}}
 	return &topo.Config{
@@ -54,6 +54,10 @@
 				Name: "lots", Host: "souk.example", Prefix: "/lots/", Idempotent: true, Timeout: 3 * time.Second,
 				Objective: time.Second, Attempts: 3, Priority: 1, Targets: souk,
 			},
+			{
+				Name: "brief", Host: "souk.example", Prefix: "/brief/", Timeout: time.Second,
+				Objective: 500 * time.Millisecond, Attempts: 2, Targets: souk,
+			},
 			{
 				Name: "bales", Host: "souk.example", Prefix: "/" + prefix + "/", Timeout: 3 * time.Second,
 				Objective: time.Second, Attempts: 2, Targets: souk,
@@ -183,8 +187,10 @@
 		{name: "cut, idempotent", faults: stand.ServerFaults{Cut: true}, method: http.MethodGet, path: "/lots/1", status: http.StatusBadGateway, ran: 3},
 		{name: "fails", faults: stand.ServerFaults{Fail: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusInternalServerError, ran: 1},
 		{name: "half an answer", faults: stand.ServerFaults{Short: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusBadGateway, ran: 1},
+		{name: "head too large", method: http.MethodPost, path: "/bales/" + strings.Repeat("x", 17000), status: http.StatusRequestHeaderFieldsTooLarge},
 		{name: "large answer", faults: stand.ServerFaults{Size: 1 << 20}, method: http.MethodPost, path: "/bales/1", status: http.StatusOK, ran: 1},
 		{name: "longer than the caller waits", faults: stand.ServerFaults{Work: 3 * time.Second}, method: http.MethodPost, path: "/bales/1", status: http.StatusGatewayTimeout, ran: 1},
+		{name: "longer than the route allows", faults: stand.ServerFaults{Work: 2 * time.Second}, method: http.MethodPost, path: "/brief/1", status: http.StatusGatewayTimeout, ran: 1},
 		{name: "longer than usual, once only", faults: stand.ServerFaults{Work: 1500 * time.Millisecond}, method: http.MethodPost, path: "/bales/1", status: http.StatusOK, ran: 1},
 		{name: "no route", method: http.MethodGet, path: "/lotsy/1", status: http.StatusNotFound},
 		{name: "refuses after a run", faults: stand.ServerFaults{Mute: true}, method: http.MethodPost, path: "/bales/1", status: http.StatusBadGateway, ran: 1},
@@ -261,6 +267,10 @@
 	go func() { served <- serves(f.fronts[1], "/sacks/1") }()
 	time.Sleep(300 * time.Millisecond)
 	f.fronts[1].signal(t, syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	if !serves(f.fronts[1], "/sacks/1") {
+		t.Error("a daemon that is stopping refuses requests that the balancer still sends")
+	}
 	if !<-served {
 		t.Error("a planned stop cut a request")
 	}
--- a/stand/server.go
+++ b/stand/server.go
@@ -149,8 +149,8 @@
 	case faults.Mute:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case faults.Short:
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	default:
 		_, _ = io.WriteString(w, body)
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -80,7 +80,7 @@
 // usable reports whether the upstream has neither closed the connection nor sent
 // bytes that nobody asked for.
 func (c *Conn) usable(now time.Time) bool {
-	if !now.Before(c.keepUntil()) || c.reader.Buffered() > 0 {
+	if !now.Before(c.keepUntil()) {
 		return false
 	}
 	raw, isRaw := c.conn.(syscall.Conn)
