--- a/httpd/eager_test.go
+++ b/httpd/eager_test.go
@@ -19,11 +19,13 @@
 	t.Parallel()
 	const request = "GET /lots HTTP/1.1\r\nHost: souk.example\r\n\r\n"
 	for _, test := range []struct {
-		name string
-		sent string
+		name   string
+		sent   string
+		behind string
 	}{
 		{name: "one request", sent: request},
 		{name: "two requests", sent: request + request},
+		{name: "two requests, one after the other", sent: request, behind: request},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -53,6 +55,13 @@
 				t.Fatal(err)
 			}
 			<-began
+			// net/http reads one byte ahead while a request is at work.
+			const settle = 50 * time.Millisecond
+			time.Sleep(settle)
+			if _, err := io.WriteString(conn, test.behind); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(settle)
 			conn.Close()
 			select {
 			case <-left:
--- a/upconn/conn_test.go
+++ b/upconn/conn_test.go
@@ -158,3 +158,93 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// open sends one request and returns its connection to the pool.
+func open(t *testing.T, pool *upconn.Pool, target upconn.Target) {
+	t.Helper()
+	if _, err := do(context.Background(), pool, target, "0"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAge takes no connection that was idle for longer than asked for.
+func TestAge(t *testing.T) {
+	t.Parallel()
+	opened := 0
+	pool := upconn.NewPool(func() { opened++ })
+	target := script(t, response("0", "a"))
+	open(t, pool, target)
+	time.Sleep(20 * time.Millisecond)
+	conn, err := pool.Get(context.Background(), target, 10*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	if opened != 2 {
+		t.Errorf("opened %d connections, want 2", opened)
+	}
+}
+
+// TestSweep closes kept connections to upstreams that are not in use any more.
+func TestSweep(t *testing.T) {
+	t.Parallel()
+	opened := 0
+	pool := upconn.NewPool(func() { opened++ })
+	left, stays := script(t, response("0", "a"), response("0", "b")), script(t, response("0", "a"), response("0", "b"))
+	open(t, pool, left)
+	open(t, pool, stays)
+	pool.Sweep(time.Now(), func(target upconn.Target) bool { return target == stays })
+	open(t, pool, left)
+	open(t, pool, stays)
+	if opened != 3 {
+		t.Errorf("opened %d connections, want 3", opened)
+	}
+}
+
+// TestEarlyAnswer gets an answer before the body was sent: the connection is not
+// used again, for the rest of the body would be read as a request.
+func TestEarlyAnswer(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, response("0", "a"))
+			time.Sleep(time.Second)
+			conn.Close()
+		}
+	}()
+	target := upconn.Target{Address: netip.MustParseAddrPort(listener.Addr().String())}
+	opened := 0
+	pool := upconn.NewPool(func() { opened++ })
+	const size = 64 << 20
+	for range 2 {
+		conn, err := pool.Get(context.Background(), target, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := conn.Do(context.Background(), &upconn.Request{
+			Method: http.MethodPost, Target: "/bales", Host: "souk.example", Header: http.Header{},
+			Body: strings.NewReader(strings.Repeat("x", size)), Length: size,
+			Matches: func(http.Header) bool { return true },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			t.Fatal(err)
+		}
+		conn.Finish(answer)
+		pool.Put(conn)
+	}
+	if opened != 2 {
+		t.Errorf("opened %d connections, want 2", opened)
+	}
+}
