Test which daemons are no source of a view, and late seeds

Cause: taking the guards out left the tests of feed green for circles of followers, for a source that stops, and for seeds that answer late. Change: TestUnfit asks a follower directly; TestNewDaemon silences its seed at first and runs the heartbeats that find it again.

--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -232,6 +232,14 @@
 	return oldest
 }
 
+// roles returns which of two daemons reads the store and which one follows it.
+func (z *zone) roles() (reader, follower int) {
+	if z.source(1) == z.feeds[1].Self().Name {
+		return 1, 0
+	}
+	return 0, 1
+}
+
 // source returns the name of the daemon that daemon i takes its view from.
 func (z *zone) source(i int) string { return z.feeds[i].Dump(time.Now()).(feed.State).Source }
 
@@ -350,10 +358,7 @@
 	t.Parallel()
 	const drainDue = 2 * time.Second
 	z := newZoneOf(t, 2, drainDue/4, drainDue/2)
-	reader, follower := 0, 1
-	if z.source(1) == z.feeds[1].Self().Name {
-		reader, follower = 1, 0
-	}
+	reader, follower := z.roles()
 	z.paths[follower].set(true)
 	z.links[reader].Faults.Set(stand.LinkFaults{DropForward: true, DropBackward: true})
 	time.Sleep(drainDue)
@@ -370,8 +375,35 @@
 	}
 }
 
-// TestNewDaemon starts a daemon that the store turns away: it follows the
-// others, whom it knows from its seeds.
+// TestUnfit asks a daemon for its view: it is no source for the one that it takes
+// its view from, nor for any while it stops.
+func TestUnfit(t *testing.T) {
+	t.Parallel()
+	z := newZone(t, 2)
+	reader, follower := z.roles()
+	peers := wire.NewPeers(&wire.Meter{})
+	unfit := func(name string) bool {
+		address := z.feeds[follower].Self().Address
+		reply, err := wire.Call[feed.FollowRequest, feed.FollowReply](t.Context(), peers, address, "Feed.Follow", feed.FollowRequest{Name: name})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply.Unfit
+	}
+	z.waitFor(t, follower, "path through the reader", func(*feed.View) bool { return unfit(z.feeds[reader].Self().Name) })
+	if unfit("front-9") {
+		t.Error("the follower is no source for a third daemon")
+	}
+	if err := z.feeds[follower].Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if !unfit("front-9") {
+		t.Error("a daemon that stops is a source")
+	}
+}
+
+// TestNewDaemon starts a daemon that the store turns away and whose seed does not
+// answer at first: it follows the others, whom it knows from its seed.
 func TestNewDaemon(t *testing.T) {
 	t.Parallel()
 	z := newZone(t, 3)
@@ -382,6 +414,7 @@
 	defer listener.Close()
 	way := &path{cut: true}
 	peers := wire.NewPeers(&wire.Meter{})
+	z.links[1].Faults.Set(stand.LinkFaults{DropBackward: true})
 	service := feed.New(topo.Daemon{Name: "front-9", Zone: "medina", Address: netip.MustParseAddrPort(listener.Addr().String())},
 		feed.Sources{
 			Configs: &poller[*topo.Config]{table: z.configs, path: way},
@@ -391,14 +424,17 @@
 			Interval: interval, StaleAfter: stale, Seeds: []netip.AddrPort{z.feeds[1].Self().Address},
 		}, logs.Discard().Part(feed.Name))
 	ctx, cancel := context.WithCancel(context.Background())
+	beats := kernel.Run(ctx, peers.Run)
 	end, err := service.Start(ctx, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	z.feeds = append(z.feeds, service)
+	time.Sleep(2 * time.Second)
+	z.links[1].Faults.Set(stand.LinkFaults{})
 	z.waitFor(t, 3, "servers", func(view *feed.View) bool { return view.Ready() && len(view.Servers) == 2 })
 	cancel()
-	if err := <-end; err != nil {
+	if err := errors.Join(<-end, <-beats); err != nil {
 		t.Error(err)
 	}
 }
