--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all bench check format test
+.PHONY: all bench check format plots test
 
 all: check
 
@@ -10,6 +10,10 @@
 format:
 	go tool -modfile=tools/go.mod golangci-lint fmt ./...
 
+# Draws the pictures of docs/pictures from the journal.
+plots:
+	go run ./plots/draw
+
 # Runs the tests.
 test:
 	go test ./...
