Divide the servers of a large service among several brokers

Ruled out: caching the order of servers (each ask changes it); choosing by zone (a caller's zone may have no sound server). Change: a service with more than 200 servers has a power of two of parts; each server belongs to one by its hash, each content to one, so that losses of one content meet in one pool; a refused ask goes to the next part. The slack of the retry budget is divided too. Services of up to 200 servers, all on the users' sites, are brokered as before. TestParts covers who belongs where.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -99,7 +99,7 @@
 func (h *Handler) begin(ctx context.Context, e *exchange) bool {
 	limit := e.arrived.Add(max(e.route.Objective/patientPart, minPatience))
 	for asks := 1; ; asks++ {
-		lease, err := h.slots.Ask(ctx, e.service, h.ask(e))
+		lease, err := h.slots.Ask(ctx, e.service, asks-1, h.ask(e))
 		if err == nil {
 			h.start(ctx, e, lease)
 			return true
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -16,13 +16,13 @@
 
 	mutex sync.Mutex
 	view  *feed.View
-	pools map[string]*choose.Pool
+	pools map[PoolKey]*choose.Pool
 }
 
 // NewBroker returns a broker without pools; limits bound the second sends of a
 // service.
 func NewBroker(limits choose.Limits, seed uint64) *Broker {
-	return &Broker{limits: limits, seed: seed, view: &feed.View{}, pools: make(map[string]*choose.Pool)}
+	return &Broker{limits: limits, seed: seed, view: &feed.View{}, pools: make(map[PoolKey]*choose.Pool)}
 }
 
 // SetLimits replaces the limits of second sends.
@@ -30,18 +30,24 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.limits = limits
-	for _, pool := range b.pools {
-		pool.SetLimits(limits)
+	for key, pool := range b.pools {
+		pool.SetLimits(b.limitsOf(key))
 	}
 }
 
-// Changed takes a new view of the servers.
+// Changed takes a new view of the servers. Pools of services that are divided
+// otherwise now are dropped.
 func (b *Broker) Changed(now time.Time, view *feed.View) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.view = view
-	for service, pool := range b.pools {
-		pool.SetServers(now, view.Services[service])
+	for key, pool := range b.pools {
+		servers := view.Services[key.Service]
+		if key.Parts != PartsOf(len(servers)) {
+			delete(b.pools, key)
+			continue
+		}
+		pool.SetServers(now, key.servers(servers))
 	}
 }
 
@@ -56,22 +62,32 @@
 func (b *Broker) Ask(now time.Time, request AskRequest) choose.Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.pool(now, request.Service).Choose(now, request.Ask)
+	pool, known := b.pools[request.Pool]
+	if !known {
+		pool = b.newPool(now, request.Pool)
+		b.pools[request.Pool] = pool
+	}
+	return pool.Choose(now, request.Ask)
 }
 
-// Release ends an attempt.
+// Release ends an attempt; one of a pool that is not there is of no use.
 func (b *Broker) Release(now time.Time, request ReleaseRequest) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.pool(now, request.Service).Release(now, request.Release)
+	if pool, known := b.pools[request.Pool]; known {
+		pool.Release(now, request.Release)
+	}
 }
 
-func (b *Broker) pool(now time.Time, service string) *choose.Pool {
-	pool, known := b.pools[service]
-	if !known {
-		pool = choose.NewPool(now, b.seed^rank.Score(service, receiverName), b.limits)
-		pool.SetServers(now, b.view.Services[service])
-		b.pools[service] = pool
-	}
+func (b *Broker) newPool(now time.Time, key PoolKey) *choose.Pool {
+	pool := choose.NewPool(now, b.seed^rank.Score(key.rankKey(), receiverName), b.limitsOf(key))
+	pool.SetServers(now, key.servers(b.view.Services[key.Service]))
 	return pool
 }
+
+// limitsOf returns the limits of one part, which has its share of the slack.
+func (b *Broker) limitsOf(key PoolKey) choose.Limits {
+	limits := b.limits
+	limits.Slack /= float64(max(key.Parts, 1))
+	return limits
+}
--- a/slots/client.go
+++ b/slots/client.go
@@ -39,25 +39,27 @@
 	ticket atomic.Uint64
 
 	mutex   sync.Mutex
-	ranked  map[string][]topo.Daemon
+	ranked  map[PoolKey][]topo.Daemon
 	daemons []topo.Daemon
 }
 
 // NewClient returns a client; broker decides for the services that this daemon
 // brokers, and alone when no broker can be reached.
 func NewClient(views Views, peers *wire.Peers, broker, alone *Broker, log *logrus.Entry) *Client {
-	c := &Client{views: views, peers: peers, broker: broker, alone: alone, log: log, ranked: make(map[string][]topo.Daemon)}
+	c := &Client{views: views, peers: peers, broker: broker, alone: alone, log: log, ranked: make(map[PoolKey][]topo.Daemon)}
 	c.ticket.Store(uint64(time.Now().UnixNano()))
 	return c
 }
 
-// Ask returns a lease on a server, or a RefusedError.
-func (c *Client) Ask(ctx context.Context, service string, ask choose.Ask) (*Lease, error) {
+// Ask returns a lease on a server, or a RefusedError. Refusals is how often the
+// request was refused before.
+func (c *Client) Ask(ctx context.Context, service string, refusals int, ask choose.Ask) (*Lease, error) {
 	ask.Daemon = c.views.Self().Name
 	ask.Ticket = c.ticket.Add(1)
-	request := AskRequest{Service: service, Ask: ask}
+	pool := newPoolKey(service, len(c.views.View().Services[service]), ask.Content, refusals)
+	request := AskRequest{Pool: pool, Ask: ask}
 	asked := 0
-	for _, daemon := range c.brokers(service) {
+	for _, daemon := range c.brokers(pool) {
 		if daemon.Name == ask.Daemon {
 			return c.lease(request, toReply(c.broker.Ask(time.Now(), request)), topo.Daemon{}, false)
 		}
@@ -91,7 +93,7 @@
 		}
 		return nil, &RefusedError{Refused: refused}
 	}
-	lease := &Lease{Service: request.Service, Ticket: request.Ask.Ticket, Broker: broker, Alone: alone}
+	lease := &Lease{Pool: request.Pool, Ticket: request.Ask.Ticket, Broker: broker, Alone: alone}
 	server, known := c.views.View().Servers[reply.Granted.Server]
 	if !known || server.Draining {
 		lease.Server.ID = reply.Granted.Server
@@ -112,7 +114,7 @@
 // Release ends a lease with what was seen.
 func (c *Client) Release(lease *Lease, release choose.Release) {
 	release.Daemon, release.Ticket, release.Server = c.views.Self().Name, lease.Ticket, lease.Server.ID
-	request := ReleaseRequest{Service: lease.Service, Release: release}
+	request := ReleaseRequest{Pool: lease.Pool, Release: release}
 	now := time.Now()
 	// The own pool learns from each outcome, to decide well when it has to.
 	c.alone.Release(now, request)
@@ -125,8 +127,8 @@
 	}
 }
 
-// brokers returns the daemons that may decide for a service, by falling rank.
-func (c *Client) brokers(service string) []topo.Daemon {
+// brokers returns the daemons that may decide for a pool, by falling rank.
+func (c *Client) brokers(pool PoolKey) []topo.Daemon {
 	daemons := c.views.View().Daemons
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -134,10 +136,10 @@
 		c.daemons = daemons
 		clear(c.ranked)
 	}
-	ranked, known := c.ranked[service]
+	ranked, known := c.ranked[pool]
 	if !known {
-		ranked = rankBrokers(service, daemons)
-		c.ranked[service] = ranked
+		ranked = rankBrokers(pool, daemons)
+		c.ranked[pool] = ranked
 	}
 	return ranked
 }
@@ -147,8 +149,8 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-func rankBrokers(service string, daemons []topo.Daemon) []topo.Daemon {
-	ranked := topo.RankDaemons(service, daemons)
+func rankBrokers(pool PoolKey, daemons []topo.Daemon) []topo.Daemon {
+	ranked := topo.RankDaemons(pool.rankKey(), daemons)
 	return ranked[:min(len(ranked), brokerRanks)]
 }
 
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -109,7 +109,7 @@
 
 func (f *fleet) ask(t *testing.T) (*slots.Lease, error) {
 	t.Helper()
-	return f.client.Ask(t.Context(), service, choose.Ask{Route: "bales", Objective: time.Second, Left: time.Second})
+	return f.client.Ask(t.Context(), service, 0, choose.Ask{Route: "bales", Objective: time.Second, Left: time.Second})
 }
 
 // TestBrokers looks at which daemon decides.
@@ -170,3 +170,60 @@
 		})
 	}
 }
+
+// TestParts divides the servers of a large service among several daemons: each
+// server belongs to one part, each content to one, and a refusal moves on.
+func TestParts(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		servers int
+		parts   int
+	}{
+		{name: "few", servers: 200, parts: 1},
+		{name: "more", servers: 201, parts: 2},
+		{name: "none", parts: 1},
+		{name: "very many", servers: 1500, parts: 8},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			if parts := slots.PartsOf(test.servers); parts != test.parts {
+				t.Fatalf("%d parts, want %d", parts, test.parts)
+			}
+			var servers []topo.Server
+			for i := range test.servers {
+				servers = append(servers, newServer(fmt.Sprintf("i-%d", i)))
+			}
+			broker := slots.NewBroker(limits, 1)
+			broker.Changed(time.Now(), newView(nil, servers...))
+			given := make(map[string]int)
+			for part := range test.parts {
+				key := slots.PoolKey{Service: service, Part: part, Parts: test.parts}
+				for _, server := range fill(broker, key) {
+					given[server]++
+				}
+			}
+			if len(given) != test.servers {
+				t.Errorf("%d of %d servers belong to a part", len(given), test.servers)
+			}
+			for server, parts := range given {
+				if parts != 1 {
+					t.Fatalf("%s belongs to %d parts", server, parts)
+				}
+			}
+		})
+	}
+}
+
+// fill asks a pool until each of its servers was given, and returns them.
+func fill(broker *slots.Broker, key slots.PoolKey) []string {
+	var servers []string
+	for ticket := uint64(1); ; ticket++ {
+		ask := choose.Ask{Ticket: ticket, Left: time.Minute, Exclude: servers}
+		granted, isGranted := broker.Ask(time.Now(), slots.AskRequest{Pool: key, Ask: ask}).(choose.Granted)
+		if !isGranted {
+			return servers
+		}
+		servers = append(servers, granted.Server)
+	}
+}
--- a/slots/message.go
+++ b/slots/message.go
@@ -14,10 +14,10 @@
 	releaseMethod = "Slots.Release"
 )
 
-// AskRequest asks for a server of a service.
+// AskRequest asks for a server of a pool.
 type AskRequest struct {
-	Service string
-	Ask     choose.Ask
+	Pool PoolKey
+	Ask  choose.Ask
 }
 
 // AskReply holds a decision, or says that the daemon cannot decide: it is
@@ -30,7 +30,7 @@
 
 // ReleaseRequest ends an attempt.
 type ReleaseRequest struct {
-	Service string
+	Pool    PoolKey
 	Release choose.Release
 }
 
@@ -40,7 +40,7 @@
 // Lease is a server for one attempt. Broker is the daemon that gave it, empty
 // for this one.
 type Lease struct {
-	Service  string
+	Pool     PoolKey
 	Server   topo.Server
 	Ticket   uint64
 	Broker   topo.Daemon
--- a/slots/service.go
+++ b/slots/service.go
@@ -53,7 +53,7 @@
 
 // Ask decides on an attempt of another daemon.
 func (r *receiver) Ask(request AskRequest, reply *AskReply) error {
-	if r.service.leaving.Load() || !r.service.broker.Knows(request.Service) {
+	if r.service.leaving.Load() || !r.service.broker.Knows(request.Pool.Service) {
 		reply.Unable = true
 		return nil
 	}
