--- a/front/service.go
+++ b/front/service.go
@@ -17,6 +17,9 @@
 // Name is the name under which other services find the callers' port.
 const Name = "front"
 
+// maxHeaderBytes is the highest bound that a configuration can set for a head.
+const maxHeaderBytes = 1 << 20
+
 // sweepInterval is how often open connections are looked through.
 const sweepInterval = 500 * time.Millisecond
 
@@ -41,7 +44,7 @@
 // new connections after the daemon is no longer ready.
 func NewService(listener net.Listener, handler *Handler, lag time.Duration, log *logrus.Entry) *Service {
 	s := &Service{handler: handler, lag: lag, log: log}
-	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve), httpd.WithEagerReads())
+	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve), httpd.WithEagerReads(), httpd.WithHeaderBytes(maxHeaderBytes))
 	return s
 }
 
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -11,9 +11,7 @@
 
 // The bounds of a connection of a caller.
 const (
-	// maxHeaderBytes is what net/http reads at most; a lower bound is the
-	// handler's.
-	maxHeaderBytes    = 1 << 20
+	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 )
@@ -37,6 +35,12 @@
 	}
 }
 
+// WithHeaderBytes replaces the bound of a request's head, for a handler that has
+// a bound of its own below it.
+func WithHeaderBytes(limit int) Option {
+	return func(s *Server) { s.server.MaxHeaderBytes = limit }
+}
+
 // NewServer returns a server for a listener; it takes the listener over.
 func NewServer(listener net.Listener, handler http.Handler, options ...Option) *Server {
 	server := &http.Server{
