Wait for a newer view before a route is said not to exist

Callers do not repeat after a 404. Ruled out: waiting only while the view is old (1 of 4 runs of the test failed: the servers are read before the configuration); waiting 0.25 s (1 of 6: a failed long poll is tried again after 0.3 s). Change: a view that became fresh after it had been old says so; a request for an unknown route waits up to 0.6 s for a newer one while the view is older than 3 s or was renewed a moment ago. Nothing else waits. The command that draws pictures is a package of its own, draw.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # Draws the pictures of docs/pictures from the journal.
 plots:
-	go run ./plots/draw
+	go run ./draw
 
 # Runs the tests.
 test:
--- a/feed/service.go
+++ b/feed/service.go
@@ -145,17 +145,25 @@
 	return nil
 }
 
+// renewedParts is how many times StaleAfter a view is old when it counts as
+// renewed; while the store can be read no view grows so old.
+const renewedParts = 2
+
 // apply changes the state and publishes a new view when it differs.
 func (s *Service) apply(work func(state *state) bool) {
 	s.mutex.Lock()
 	before := s.state.config
+	known := s.state.freshAt
 	changed := work(s.state)
+	if s.state.freshAt.Sub(known) > renewedParts*s.settings.StaleAfter {
+		s.state.renewedAt = time.Now()
+	}
 	var view *View
 	if changed {
 		view = s.state.view(s.view.Load())
 	} else {
 		copied := *s.view.Load()
-		copied.FreshAt = s.state.freshAt
+		copied.FreshAt, copied.RenewedAt = s.state.freshAt, s.state.renewedAt
 		view = &copied
 	}
 	s.view.Store(view)
--- a/feed/view.go
+++ b/feed/view.go
@@ -11,13 +11,16 @@
 	"dandeliondoor/topo"
 )
 
-// View is what a daemon knows at one moment; it is never changed.
+// View is what a daemon knows at one moment; it is never changed. FreshAt is when
+// the store confirmed the servers last, RenewedAt when that was known here after
+// it had been old; the configuration may come a little later.
 type View struct {
-	Table    *topo.Table
-	Servers  map[string]topo.Server
-	Services map[string][]topo.Server
-	Daemons  []topo.Daemon
-	FreshAt  time.Time
+	Table     *topo.Table
+	Servers   map[string]topo.Server
+	Services  map[string][]topo.Server
+	Daemons   []topo.Daemon
+	FreshAt   time.Time
+	RenewedAt time.Time
 }
 
 // Ready reports whether requests can be served by the view.
@@ -31,6 +34,7 @@
 	daemons      *topo.Replica[topo.Daemon]
 	serversKnown bool
 	freshAt      time.Time
+	renewedAt    time.Time
 	path         []string
 }
 
@@ -109,7 +113,7 @@
 // view returns a snapshot; the table of routes is kept while the configuration
 // is the same.
 func (s *state) view(previous *View) *View {
-	v := &View{FreshAt: s.freshAt}
+	v := &View{FreshAt: s.freshAt, RenewedAt: s.renewedAt}
 	if s.config != nil {
 		v.Table = previous.Table
 		if v.Table == nil || v.Table.Config != s.config {
--- a/front/handler.go
+++ b/front/handler.go
@@ -100,10 +100,7 @@
 	if limits.HeaderBytes > 0 && headBytes(r) > limits.HeaderBytes {
 		return ownAnswer{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeadLarge}, true
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	e.route = view.Table.Find(r.Host, path)
-	e.version = view.Table.Config.Version
-	if e.route == nil {
+	if !h.findRoute(ctx, e, view) {
 		return ownAnswer{status: http.StatusNotFound, reason: reasonNoRoute}, true
 	}
 	left, given, err := h.dialect.Deadline(r.Header)
@@ -129,12 +126,44 @@
 	return size
 }
 
-// The wait for a view by requests that reach a daemon right after its start.
+// The wait for a view by requests that reach a daemon right after its start, or
+// right after its process stood still.
 const (
 	viewPatience = 250 * time.Millisecond
 	viewPause    = 20 * time.Millisecond
+	// renewPatience is how long a request for an unknown route waits after the
+	// process stood still: a failed read of the configuration is tried again
+	// after 0.3 s at most.
+	renewPatience = 600 * time.Millisecond
+	// staleView is older than any view while the store can be read, for it is
+	// read again within the time that a leaving server allows.
+	staleView = 3 * time.Second
 )
 
+// findRoute sets the request's route and reports whether there is one. A view
+// that is old, or was so a moment ago, may lack it, so that a newer one is waited
+// for.
+func (h *Handler) findRoute(ctx context.Context, e *exchange, view *feed.View) bool {
+	path, _, _ := strings.Cut(e.request.RequestURI, "?")
+	e.route = view.Table.Find(e.request.Host, path)
+	for e.route == nil && ctx.Err() == nil && maybeOld(time.Now(), e.arrived, view) {
+		wait(ctx, viewPause)
+		view = h.views.View()
+		e.route = view.Table.Find(e.request.Host, path)
+	}
+	e.version = view.Table.Config.Version
+	return e.route != nil
+}
+
+// maybeOld reports whether a request that arrived a short while ago should wait
+// for a newer view.
+func maybeOld(now, arrived time.Time, view *feed.View) bool {
+	if now.Sub(arrived) >= renewPatience {
+		return false
+	}
+	return now.Sub(view.FreshAt) > staleView || now.Sub(view.RenewedAt) < renewPatience
+}
+
 // readyView returns the view, after a short wait if it cannot serve yet.
 func (h *Handler) readyView(ctx context.Context) *feed.View {
 	view := h.views.View()
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -226,6 +226,32 @@
 	}
 }
 
+// TestFrontThaw stops a daemon's process while a route is added: a request that
+// waits for it when it goes on is not told that there is no such route.
+func TestFrontThaw(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 2, 2)
+	for i, p := range f.fronts {
+		p.signal(t, syscall.SIGSTOP)
+		prefix := fmt.Sprintf("sacks%d", i)
+		f.publishFront(uint64(i+2), prefix)
+		time.Sleep(4 * time.Second)
+		status := make(chan int, 1)
+		go func() {
+			_, got, _, err := f.send(p, http.MethodPost, "/"+prefix+"/1", "")
+			if err != nil {
+				t.Error(err)
+			}
+			status <- got
+		}()
+		time.Sleep(200 * time.Millisecond)
+		p.signal(t, syscall.SIGCONT)
+		if got := <-status; got != http.StatusOK {
+			t.Errorf("%s answered %d, want 200", p.name, got)
+		}
+	}
+}
+
 // TestFrontLife takes a small fleet through an outage of the store, a new
 // configuration, a leaving server, a killed daemon and a planned stop.
 func TestFrontLife(t *testing.T) {
