End the soak's processes when it is interrupted

Cause: an interrupted soak left its daemons running. Change: SIGINT and SIGTERM end the rounds, and with them all processes.

--- a/cmds/soakcmd.go
+++ b/cmds/soakcmd.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-faster/errors"
 
@@ -36,10 +38,12 @@
 		return err
 	}
 	logger.TakeLibraryLogs()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	found := false
 	for i := range c.Seeds {
 		seed := c.Seed + uint64(i)
-		report, directory, err := c.run(program, seed)
+		report, directory, err := c.run(ctx, program, seed)
 		if err != nil {
 			return err
 		}
@@ -56,12 +60,14 @@
 }
 
 // run soaks with one seed; the logs of a seed with findings are kept.
-func (c *soakCommand) run(program string, seed uint64) (report soak.Report, directory string, err error) {
+func (c *soakCommand) run(
+	ctx context.Context, program string, seed uint64,
+) (report soak.Report, directory string, err error) {
 	directory, err = os.MkdirTemp("", "dandeliondoor-soak")
 	if err != nil {
 		return soak.Report{}, "", err
 	}
-	report, err = soak.Run(context.Background(), soak.Options{
+	report, err = soak.Run(ctx, soak.Options{
 		Seed: seed, Rounds: c.Rounds, Daemons: c.Daemons, Servers: c.Servers, Callers: c.Callers,
 		Program: program, Directory: directory,
 	})
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,7 +51,8 @@
 	return strings.Join(append([]string{text}, r.Findings...), "\n")
 }
 
-// Run soaks a fleet and returns what was found.
+// Run soaks a fleet and returns what was found. The end of the context ends all
+// processes.
 func Run(ctx context.Context, options Options) (Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -74,6 +75,9 @@
 		if err := f.round(ctx, l, events, planned, name); err != nil {
 			return errors.Wrap(err, name)
 		}
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), name)
+		}
 	}
 	return nil
 }
@@ -135,7 +139,7 @@
 func (f *fleet) recover(ctx context.Context, l *ledger, name string) {
 	due := time.Now().Add(recoveryDue)
 	for _, d := range f.daemons {
-		for !f.serves(ctx, l, d) {
+		for ctx.Err() == nil && !f.serves(ctx, l, d) {
 			if time.Now().After(due) {
 				l.find("%s: %s does not serve version %d after %s", name, d.name, f.newest(), recoveryDue)
 				break
