--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -22,6 +22,9 @@
 	"dandeliondoor/topo"
 )
 
+// daemonPorts are those of the daemons. Two soaks at once may choose the same.
+var daemonPorts = stand.NewPorts(10000, 18000)
+
 // zones are the availability zones over which daemons and servers are spread.
 var zones = []string{"medina", "jdid"}
 
@@ -144,7 +147,7 @@
 	d := &daemon{name: fmt.Sprintf("front-%d", i)}
 	ports := make([]netip.AddrPort, 4)
 	for j := range ports {
-		port, err := freePort()
+		port, err := daemonPorts.Free()
 		if err != nil {
 			return err
 		}
@@ -176,15 +179,6 @@
 	return f.start(d)
 }
 
-func freePort() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "find a free port")
-	}
-	address, err := netip.ParseAddrPort(listener.Addr().String())
-	return address, errors.Join(err, listener.Close())
-}
-
 // start starts the process of a daemon.
 func (f *fleet) start(d *daemon) error {
 	log, err := os.OpenFile(d.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -201,7 +195,10 @@
 	defer d.mutex.Unlock()
 	d.command, d.ended = command, make(chan error, 1)
 	d.starts++
-	go func(ended chan<- error) { ended <- command.Wait() }(d.ended)
+	go func(ended chan<- error) {
+		defer close(ended)
+		ended <- command.Wait()
+	}(d.ended)
 	return nil
 }
 
@@ -226,10 +223,25 @@
 	if err := d.signal(signal); err != nil {
 		return errors.Wrap(err, "signal daemon")
 	}
-	if err := <-d.ended; err != nil && signal == syscall.SIGTERM {
-		return errors.Wrapf(err, "planned stop of %s", d.name)
+	err := <-d.ended
+	if signal != syscall.SIGTERM || endedBy(err, signal) {
+		// A process that just began has no handler for SIGTERM yet, nor requests.
+		err = nil
 	}
-	return f.start(d)
+	if err != nil {
+		err = errors.Wrapf(err, "planned stop of %s", d.name)
+	}
+	return errors.Join(err, f.start(d))
+}
+
+// endedBy reports whether a signal itself ended a process.
+func endedBy(err error, signal syscall.Signal) bool {
+	var ended *exec.ExitError
+	if !errors.As(err, &ended) {
+		return false
+	}
+	status, known := ended.Sys().(syscall.WaitStatus)
+	return known && status.Signaled() && status.Signal() == signal
 }
 
 // publish stores the next version of the configuration: the route of the version
