upconn: bound heads, interim and foreign responses; count a write in progress as sent

Cause: a response head had no limit in bytes, the body of a response to another request was read to its end on Close, and bytes of a request were counted only after a write returned, while a long body is written concurrently.

Ruled out: chunk extensions and trailers, which net/http bounds by itself (TestEndless/chunk_extension and /trailer pass on the old code).

Change: 64 KiB for a head with the informational responses before it, 16 of these, 1 MiB for the body of a response to another request; the connection is closed at the bound and the request counts as one that may have run. A write counts as sent from its start unless it returns without having sent anything. NewPool takes WithDial.

Before (tests on with WithDial): an endless status line, header line, header lines, informational responses and two bodies of another response were read for 32 MiB, the test's own end; TestConcurrentWrite was told that nothing had been written. After: all pass, at most 128 KiB of a head and 2 MiB (6 MiB in chunks of 4 bytes) of a body are read.

--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,14 +24,21 @@
 	maxInlineBody = 2 << 10
 	// maxUnmatched limits how many responses to other requests are skipped.
 	maxUnmatched = 2
-	// maxUnmatchedBody is how much of the body of a skipped response is read before
-	// the body is closed. Closing it reads the rest, so this does not limit its size.
+	// maxUnmatchedBody limits the body of a skipped response, in bytes.
 	maxUnmatchedBody = 1 << 20
+	// maxInterim limits how many informational (1xx) responses are skipped.
+	maxInterim = 16
+	// maxHeadBytes limits the status line and header of a response, together with
+	// the informational responses before it.
+	maxHeadBytes = 64 << 10
 )
 
 var (
-	errNoLength  = errors.New("response to another request has no length")
-	errUnmatched = errors.New("received only responses to other requests")
+	errEndlessBody = errors.New("response to another request is too long")
+	errInterim     = errors.New("received too many informational responses")
+	errLongHead    = errors.New("response header is too long")
+	errNoLength    = errors.New("response to another request has no length")
+	errUnmatched   = errors.New("received only responses to other requests")
 )
 
 // pastDeadline is a deadline that makes all reads and writes fail at once.
@@ -56,8 +62,9 @@
 type Conn struct {
 	conn       net.Conn
 	target     Target
+	received   *boundedReader
 	reader     *bufio.Reader
-	written    atomic.Int64
+	sent       sendState
 	lastUsed   time.Time
 	keepAlive  time.Duration
 	requests   int
@@ -67,10 +74,12 @@
 }
 
 func newConn(conn net.Conn, target Target) *Conn {
+	received := &boundedReader{conn: conn}
 	return &Conn{
 		conn:      conn,
 		target:    target,
-		reader:    bufio.NewReaderSize(conn, bufferSize),
+		received:  received,
+		reader:    bufio.NewReaderSize(received, bufferSize),
 		lastUsed:  time.Now(),
 		keepAlive: defaultKeepAlive,
 	}
@@ -112,12 +121,12 @@
 	c.reusable = false
 	reused := c.requests > 0
 	c.requests++
-	c.written.Store(0)
+	c.sent.reset()
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(pastDeadline) })
 	c.startWrite(request)
 	response, err := c.readResponse(request)
 	if err != nil {
-		return nil, &ConnError{Written: c.written.Load() > 0, Reused: reused, Err: err}
+		return nil, &ConnError{Written: c.sent.mayHaveLeft(), Reused: reused, Err: err}
 	}
 	return response, nil
 }
@@ -154,7 +163,7 @@
 }
 
 func (c *Conn) write(request *Request) error {
-	writer := bufio.NewWriterSize(countingWriter{conn: c.conn, written: &c.written}, bufferSize)
+	writer := bufio.NewWriterSize(trackingWriter{conn: c.conn, sent: &c.sent}, bufferSize)
 	writeHead(writer, request)
 	var err error
 	switch {
@@ -174,51 +183,50 @@
 	return err
 }
 
-// readResponse reads responses until one matches the request. It skips
-// informational (1xx) responses and a limited number of responses to other
-// requests.
+// readResponse reads responses until one matches the request. It skips a limited
+// number of informational (1xx) responses and of responses to other requests.
 func (c *Conn) readResponse(request *Request) (*http.Response, error) {
 	httpRequest := &http.Request{Method: request.Method}
-	for unmatched := 0; unmatched <= maxUnmatched; {
+	c.received.limit(maxHeadBytes, errLongHead)
+	for unmatched, interim := 0, 0; unmatched <= maxUnmatched; {
 		response, err := http.ReadResponse(c.reader, httpRequest)
 		if err != nil {
-			return nil, err
+			return nil, c.received.cause(err)
 		}
 		switch {
 		case response.StatusCode >= 100 && response.StatusCode < 200:
+			if interim++; interim > maxInterim {
+				return nil, errInterim
+			}
 		case request.Matches(response.Header):
+			c.received.unlimit()
 			return response, nil
 		default:
 			unmatched++
+			c.received.unlimit()
 			if err := discardBody(response); err != nil {
 				return nil, err
 			}
+			c.received.limit(maxHeadBytes, errLongHead)
 		}
 	}
 	return nil, errUnmatched
 }
 
-// discardBody reads the body of a response to another request and drops it.
+// discardBody reads the body of a response to another request to its end and drops
+// it. It does not close the body if that is too long, since closing reads the rest.
 func discardBody(response *http.Response) error {
-	defer response.Body.Close()
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return errNoLength
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnmatchedBody))
-	return err
-}
-
-// countingWriter counts the bytes written to a connection.
-type countingWriter struct {
-	conn    net.Conn
-	written *atomic.Int64
-}
-
-// Write implements io.Writer.
-func (w countingWriter) Write(data []byte) (int, error) {
-	count, err := w.conn.Write(data)
-	w.written.Add(int64(count))
-	return count, err
+	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnmatchedBody+1))
+	if err != nil {
+		return err
+	}
+	if count > maxUnmatchedBody {
+		return errEndlessBody
+	}
+	return response.Body.Close()
 }
 
 func writeHead(w *bufio.Writer, request *Request) {
--- a/upconn/pool.go
+++ b/upconn/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -33,16 +34,34 @@
 	StartTime int64
 }
 
+// Dial opens a connection to an upstream.
+type Dial func(ctx context.Context, target Target) (net.Conn, error)
+
 // Pool holds idle connections to upstreams.
 type Pool struct {
 	mutex  sync.Mutex
 	idle   map[Target][]*Conn
+	open   Dial
 	onDial func()
 }
 
+// Option configures a pool.
+type Option func(*Pool)
+
+// WithDial replaces the function that opens connections.
+func WithDial(dial Dial) Option { return func(p *Pool) { p.open = dial } }
+
 // NewPool returns an empty pool that calls onDial for each new connection.
-func NewPool(onDial func()) *Pool {
-	return &Pool{idle: make(map[Target][]*Conn), onDial: onDial}
+func NewPool(onDial func(), options ...Option) *Pool {
+	p := &Pool{idle: make(map[Target][]*Conn), onDial: onDial, open: dialTCP}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+func dialTCP(ctx context.Context, target Target) (net.Conn, error) {
+	return dialer.New(dialTimeout).DialContext(ctx, "tcp", target.Address.String())
 }
 
 // Get returns an idle connection that was last used at most maxIdleTime ago, or
@@ -61,7 +80,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, target Target) (*Conn, error) {
-	conn, err := dialer.New(dialTimeout).DialContext(ctx, "tcp", target.Address.String())
+	conn, err := p.open(ctx, target)
 	if err != nil {
 		return nil, &DialError{Address: target.Address, Err: err}
 	}
