--- a/cmds/publishcmd.go
+++ b/cmds/publishcmd.go
@@ -128,6 +128,8 @@
 	switch result := result.(type) {
 	case pubs.Rejected:
 		return &ExitError{Code: ExitConflict, Err: errors.New(rejectionText(result))}
+	case pubs.Invalid:
+		return &ExitError{Code: ExitInvalid, Err: errors.Wrap(result.Err, "the deployment cannot be stored and nothing was written")}
 	case pubs.Unreachable:
 		return &ExitError{Code: ExitUnreachable, Err: errors.Wrap(result.Err, "the log cannot be reached and nothing was written")}
 	case pubs.Unconfirmed:
--- a/feed/service.go
+++ b/feed/service.go
@@ -77,6 +77,9 @@
 	removals removalHold
 	changed  chan struct{}
 
+	// watching serializes the calls of watchers, each with the latest view.
+	watching sync.Mutex
+
 	followed followedSource
 	avoided  map[string]time.Time
 
@@ -167,15 +170,13 @@
 	if s.state.freshAt.Sub(confirmedAt) > renewedFactor*s.settings.StaleAfter {
 		s.state.renewedAt = time.Now()
 	}
-	var view *View
 	if changed {
-		view = s.state.snapshot(s.view.Load())
+		s.view.Store(s.state.snapshot(s.view.Load()))
 	} else {
 		copied := *s.view.Load()
 		copied.FreshAt, copied.RenewedAt = s.state.freshAt, s.state.renewedAt
-		view = &copied
+		s.view.Store(&copied)
 	}
-	s.view.Store(view)
 	config, source := s.state.config, s.followed.name
 	s.mutex.Unlock()
 	if config != before {
@@ -184,9 +185,18 @@
 	}
 	if changed {
 		s.notifyFollowers()
-		for _, watch := range s.watchers {
-			watch(view)
-		}
+		s.notifyWatchers()
+	}
+}
+
+// notifyWatchers passes the latest view to the watchers. Updates run concurrently,
+// so the view of the calling update may have been replaced already.
+func (s *Service) notifyWatchers() {
+	s.watching.Lock()
+	defer s.watching.Unlock()
+	view := s.View()
+	for _, watch := range s.watchers {
+		watch(view)
 	}
 }
 
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"dandeliondoor/fakes"
 	"dandeliondoor/feed"
 	"dandeliondoor/kernel"
@@ -236,6 +239,42 @@
 	return oldest
 }
 
+// waitForSingleReader waits until only one daemon has called the store for a while.
+func (z *zone) waitForSingleReader(t *testing.T) {
+	t.Helper()
+	readers := 0
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); {
+		before := z.calls()
+		time.Sleep(10 * interval)
+		if readers = changedCount(before, z.calls()); readers == 1 {
+			return
+		}
+	}
+	t.Fatalf("%d daemons read the store, want only one", readers)
+}
+
+// calls returns the number of calls to the store of each daemon.
+func (z *zone) calls() []int {
+	var calls []int
+	for _, access := range z.accesses {
+		access.mutex.Lock()
+		calls = append(calls, access.calls)
+		access.mutex.Unlock()
+	}
+	return calls
+}
+
+// changedCount returns the number of positions at which two lists differ.
+func changedCount(before, after []int) int {
+	count := 0
+	for i := range before {
+		if before[i] != after[i] {
+			count++
+		}
+	}
+	return count
+}
+
 // roles returns which of two daemons reads the store and which one follows the
 // other.
 func (z *zone) roles() (reader, follower int) {
@@ -268,7 +307,7 @@
 		z.waitFor(t, i, "version 2", func(view *feed.View) bool { return view.Table.Config.Version == 2 })
 	}
 	z.configs.put("config", &topo.Config{Version: 1})
-	time.Sleep(10 * interval)
+	z.waitForSingleReader(t)
 	for i, f := range z.feeds {
 		if version := f.View().Table.Config.Version; version != 2 {
 			t.Errorf("front-%d went back to version %d", i, version)
@@ -276,6 +315,68 @@
 	}
 }
 
+// blockingHook blocks the log line of a configuration until released.
+type blockingHook struct {
+	reached chan struct{}
+	release chan struct{}
+}
+
+func (h *blockingHook) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+
+func (h *blockingHook) Fire(entry *logrus.Entry) error {
+	if entry.Data["version"] == uint64(2) {
+		close(h.reached)
+		<-h.release
+	}
+	return nil
+}
+
+// TestWatchOrder delays an update of the view between its publication and its
+// watchers while another one completes. The watchers must get the latest view last,
+// or a broker would go on with an older one.
+func TestWatchOrder(t *testing.T) {
+	t.Parallel()
+	hook := &blockingHook{reached: make(chan struct{}), release: make(chan struct{})}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.AddHook(hook)
+	configs, servers, daemons := newTable[*topo.Config](), newTable[topo.Server](), newTable[topo.Daemon]()
+	configs.put("config", &topo.Config{Version: 1})
+	servers.put("i-1", topo.Server{ID: "i-1", Service: "souk", Slots: 3})
+	access := &storeAccess{}
+	self := topo.Daemon{Name: "front-0", Zone: "medina", Capacity: 1, Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	service := feed.New(self, feed.Sources{
+		Configs: &poller[*topo.Config]{table: configs, access: access},
+		Servers: &poller[topo.Server]{table: servers, access: access},
+		Daemons: &registry{poller[topo.Daemon]{table: daemons, access: access}},
+	}, wire.NewPeers(&wire.Meter{}), feed.Settings{Interval: interval, StaleAfter: stale}, logrus.NewEntry(logger))
+	views := make(chan *feed.View, 100)
+	service.Watch(func(view *feed.View) { views <- view })
+	ctx, cancel := context.WithCancel(context.Background())
+	end, err := service.Start(ctx, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	configs.put("config", &topo.Config{Version: 2})
+	<-hook.reached
+	servers.remove("i-1")
+	var last *feed.View
+	for last == nil || !without("i-1")(last) {
+		last = <-views
+	}
+	close(hook.release)
+	cancel()
+	if err := <-end; err != nil && !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	for len(views) > 0 {
+		last = <-views
+	}
+	if !without("i-1")(last) {
+		t.Error("the last view that the watchers got has a removed server")
+	}
+}
+
 // TestCutReaders checks that daemons without access to the store get the removal
 // of a server from other daemons. Six of nine daemons cannot reach the store
 // when the server is removed. No daemon may have the server again once they can.
--- a/fold/state.go
+++ b/fold/state.go
@@ -157,7 +157,8 @@
 	return Digest(candidate) > Digest(current) && candidate.Revision > 0
 }
 
-// Digest returns a hash of the name, revision and body of a document.
+// Digest returns a hash of the name, revision and body of a document, and of whether
+// it is deleted.
 func Digest(document Document) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
@@ -165,6 +166,11 @@
 	var revision [8]byte
 	binary.BigEndian.PutUint64(revision[:], document.Revision)
 	_, _ = digest.Write(revision[:])
+	deleted := byte(0)
+	if document.Deleted {
+		deleted = 1
+	}
+	_, _ = digest.Write([]byte{deleted})
 	_, _ = digest.WriteString(document.Body)
 	return digest.Sum64()
 }
--- a/fold/state_test.go
+++ b/fold/state_test.go
@@ -217,6 +217,28 @@
 	})
 }
 
+// TestDigest checks that each field of a document changes its digest.
+func TestDigest(t *testing.T) {
+	document := fold.Document{Name: "a", Revision: 1, Body: "b"}
+	for _, test := range []struct {
+		name   string
+		change func(changed *fold.Document)
+	}{
+		{name: "body", change: func(changed *fold.Document) { changed.Body = "c" }},
+		{name: "deleted", change: func(changed *fold.Document) { changed.Deleted = true }},
+		{name: "name", change: func(changed *fold.Document) { changed.Name = "b" }},
+		{name: "revision", change: func(changed *fold.Document) { changed.Revision = 2 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			changed := document
+			test.change(&changed)
+			if fold.Digest(changed) == fold.Digest(document) {
+				t.Errorf("%+v and %+v have the same digest", changed, document)
+			}
+		})
+	}
+}
+
 func TestDecode(t *testing.T) {
 	for _, test := range []struct {
 		name string
--- a/pubs/publisher.go
+++ b/pubs/publisher.go
@@ -120,7 +120,7 @@
 func (p *Publisher) Publish(ctx context.Context, publication fold.Publication) Result {
 	data, err := fold.Encode(fold.Record{Publication: &publication})
 	if err != nil {
-		return Unreachable{Err: err}
+		return Invalid{Err: err}
 	}
 	answerLost := false
 	for range maxAppends {
--- a/pubs/result.go
+++ b/pubs/result.go
@@ -20,8 +20,11 @@
 	Conflicts []fold.Conflict
 }
 
-// Unreachable means that the log could not be read, or that the publication could not
-// be encoded. Nothing was written.
+// Invalid means that the publication cannot be stored, for example because it is too
+// large. Nothing was written.
+type Invalid struct{ Err error }
+
+// Unreachable means that the log could not be read. Nothing was written.
 type Unreachable struct{ Err error }
 
 // Unconfirmed means that the record has not been found in the log, for example
@@ -45,6 +48,7 @@
 var (
 	_ Result = Accepted{}
 	_ Result = Rejected{}
+	_ Result = Invalid{}
 	_ Result = Unreachable{}
 	_ Result = Unconfirmed{}
 	_ Result = NoCheckpoint{}
@@ -54,6 +58,7 @@
 
 func (Accepted) isResult()     {}
 func (Rejected) isResult()     {}
+func (Invalid) isResult()      {}
 func (Unreachable) isResult()  {}
 func (Unconfirmed) isResult()  {}
 func (NoCheckpoint) isResult() {}
