choose: keep servers in use at all times; add a simulation of loads

Change: the failure rate is gone. Requests that cannot be retried go to the idle server that is most likely healthy whenever fewer than 0.85 of the servers had a request within 1.7 s; those that can be retried, whenever any server had none within 1.3 s. A server that failed rests for 1.5 s first, at most a fifth at a time. Below 1.5 requests a server this does not apply to the former.

--- a/choose/floor.go
+++ b/choose/floor.go
@@ -5,107 +5,93 @@
 	"time"
 )
 
-// Parameters of the rule that every healthy server keeps getting requests while
-// requests fail. They are stricter than the platform's floor, which demands that a
-// share of the healthy servers gets requests while requests fail.
+// Parameters of the rule that most servers keep getting requests. The platform's
+// floor demands that seven tenths of the healthy servers get requests in each span
+// of two seconds in which a tenth of the requests fail. The rule applies at all
+// times, because requests may fail later: those in flight do when their daemons lose
+// power.
 const (
-	// failureRateDecayTime is the time constant of the failure rate.
-	failureRateDecayTime = 1500 * time.Millisecond
-	// failureRateThreshold is the failure rate from which requests are spread;
-	// the platform's floor applies from a tenth on.
-	failureRateThreshold = 0.05
-	// minRateOutcomes is the number of outcomes, decayed with
-	// failureRateDecayTime, below which the failure rate is ignored.
-	minRateOutcomes = 8
-	// failingIdleLimit is how long a server may go without a request while
-	// requests fail; the platform's floor counts spans of two seconds.
-	failingIdleLimit = 1600 * time.Millisecond
-	// failingActiveShare is the share of servers that must be active while
-	// requests fail; the platform's floor asks for seven tenths of the healthy
-	// ones.
-	failingActiveShare = 0.9
+	// activeShare and probeActiveShare are the shares of servers that must not be
+	// idle. The latter applies to requests that can be retried, which keep all
+	// servers in use at the cost of retries.
+	activeShare      = 0.85
+	probeActiveShare = 1.0
+	// idleLimit is how long a server may go without a request before it is idle.
+	idleLimit = 1700 * time.Millisecond
+	// probeIdleLimit replaces idleLimit for requests that can be retried, so that
+	// they are sent to idle servers before the others are.
+	probeIdleLimit = 1300 * time.Millisecond
+	// failureRest is how long a server is left alone after a failure before
+	// idleLimit begins. The platform counts it as unhealthy for two seconds.
+	failureRest = 1500 * time.Millisecond
+	// maxRestingShare is the share of servers that may rest at the same time.
+	maxRestingShare = 0.2
+	// minAsksPerServer is the number of asks per server, decayed with idleLimit,
+	// below which requests that cannot be retried go to the best server only.
+	minAsksPerServer = 1.5
 )
 
-// Parameters for requests that can be retried on another server. They keep servers
-// active at all times, because failures in daemons that terminate are not reported
-// to the pool.
-const (
-	probeIdleLimit   = 1300 * time.Millisecond
-	probeActiveShare = 0.8
-	// failingProbeIdleLimit replaces probeIdleLimit while requests fail.
-	failingProbeIdleLimit = 800 * time.Millisecond
-)
-
-// failureRate is the exponentially decaying share of requests that fail.
-type failureRate struct {
-	total     float64
-	failed    float64
+// askCount is the number of asks, decayed with idleLimit.
+type askCount struct {
+	count     float64
 	updatedAt time.Time
 }
 
-// record counts the outcome of an attempt. A failure counts only if the attempt
-// is final, which means that no other attempt of its request can follow.
-func (f *failureRate) record(now time.Time, outcome Outcome, final bool) {
-	decay := math.Exp(-now.Sub(f.updatedAt).Seconds() / failureRateDecayTime.Seconds())
-	f.total, f.failed, f.updatedAt = f.total*decay, f.failed*decay, now
-	switch outcome {
-	case Served:
-		f.total++
-	case Failed, ConnectionLost, TimedOut:
-		if final {
-			f.total++
-			f.failed++
-		}
-	case Cancelled, Misdirected, Shed, Unreachable:
-	}
-}
-
-// isHigh reports whether so many requests fail that all servers have to be tried.
-func (f *failureRate) isHigh() bool {
-	return f.total >= minRateOutcomes && f.failed > failureRateThreshold*f.total
+// record counts one ask.
+func (a *askCount) record(now time.Time) {
+	a.count = a.count*math.Exp(-now.Sub(a.updatedAt).Seconds()/idleLimit.Seconds()) + 1
+	a.updatedAt = now
 }
 
-// idleServer returns the idle server that is most likely healthy if too few
-// servers are active. It returns nil if enough are active, or if no idle server can
-// take a request.
+// idleServer returns the idle server that is most likely healthy if too few servers
+// are active. It returns nil if enough are active, if the ask need not go to an
+// idle server, or if no idle server can take a request.
 func (p *Pool) idleServer(now time.Time, ask Ask, candidates []*server) *server {
-	idleLimit, activeShare := p.activityTarget(ask)
-	if idleLimit == 0 {
+	limit, share := idleLimit, activeShare
+	switch {
+	case ask.Repeat:
+		return nil
+	case ask.Probe:
+		limit, share = probeIdleLimit, probeActiveShare
+	case p.asks.count < minAsksPerServer*float64(len(candidates)):
 		return nil
 	}
-	var best *server
-	active, lowest := 0, 0.0
+	active, resting := 0, 0
+	var best, bestResting *server
 	for _, s := range candidates {
-		if now.Sub(s.lastAssignedAt) < idleLimit {
+		if now.Sub(s.lastAssignedAt) < limit {
 			active++
 			continue
 		}
-		if now.Before(s.pausedUntil) || s.load(now) >= s.Slots {
-			continue
+		usable := !now.Before(s.pausedUntil) && s.load(now) < s.Slots
+		rests := now.Sub(s.tally.failedAt) < failureRest+limit
+		if rests {
+			resting++
 		}
-		if unhealthy := p.unhealthyProb(now, s); best == nil || unhealthy < lowest {
-			best, lowest = s, unhealthy
+		switch {
+		case !usable:
+		case rests:
+			bestResting = p.healthier(now, bestResting, s)
+		default:
+			best = p.healthier(now, best, s)
 		}
 	}
-	if float64(active) >= activeShare*float64(len(candidates)) {
+	count := float64(len(candidates))
+	needed := share * (count - min(float64(resting), maxRestingShare*count))
+	switch {
+	case float64(active) >= needed:
 		return nil
+	case best != nil:
+		return best
+	default:
+		return bestResting
 	}
-	return best
 }
 
-// activityTarget returns the share of servers that should have had a request
-// within idleLimit. Both are 0 if the ask need not go to an idle server.
-func (p *Pool) activityTarget(ask Ask) (idleLimit time.Duration, activeShare float64) {
-	probes := ask.Probe && !ask.Repeat
-	failing := p.failures.isHigh()
-	switch {
-	case probes && failing:
-		return failingProbeIdleLimit, failingActiveShare
-	case probes:
-		return probeIdleLimit, probeActiveShare
-	case failing && !ask.Repeat:
-		return failingIdleLimit, failingActiveShare
-	default:
-		return 0, 0
+// healthier returns the server that is more likely healthy; best may be nil.
+func (p *Pool) healthier(now time.Time, best, s *server) *server {
+	if best == nil || p.unhealthyProb(now, s) < p.unhealthyProb(now, best) {
+		return s
 	}
+	return best
 }
--- a/choose/pool.go
+++ b/choose/pool.go
@@ -56,7 +56,7 @@
 	unhealthyShare float64
 	budget         *RetryBudget
 	random         *rand.Rand
-	failures       failureRate
+	asks           askCount
 	crashes        crashTracker
 }
 
@@ -104,6 +104,7 @@
 	if p.crashes.blocked(now, ask.Content) {
 		return Refused{Reason: ReasonCrashes}
 	}
+	p.asks.record(now)
 	if ask.Repeat && !p.budget.TryTake(now) {
 		return Refused{Reason: ReasonBudget}
 	}
@@ -125,7 +126,6 @@
 		startedAt:   now,
 		expiresAt:   now.Add(ask.Left + attemptExpiryMargin),
 		probe:       probe,
-		final:       !ask.Probe,
 		fingerprint: ask.Content,
 	})
 	best.lastAssignedAt, best.lastDaemon = now, ask.Daemon
@@ -312,7 +312,6 @@
 	ended, found := s.removeAttempt(release.Daemon, release.Ticket)
 	s.updateLoad(now, release.Running, release.Waiting)
 	p.recordOutcome(now, s, release, ended.route, found)
-	p.failures.record(now, release.Outcome, ended.final)
 	p.crashes.record(now, ended.fingerprint, release.Outcome)
 }
 
--- a/choose/server.go
+++ b/choose/server.go
@@ -28,8 +28,7 @@
 )
 
 // attempt is a request in flight on a server. Probe marks one that tests an
-// untrusted server, and final one that no other attempt of its request can
-// follow.
+// untrusted server.
 type attempt struct {
 	daemon      string
 	ticket      uint64
@@ -37,7 +36,6 @@
 	startedAt   time.Time
 	expiresAt   time.Time
 	probe       bool
-	final       bool
 	fingerprint crash.Fingerprint
 }
 
@@ -66,6 +64,7 @@
 	successes float64
 	failures  float64
 	updatedAt time.Time
+	failedAt  time.Time
 }
 
 const (
@@ -84,6 +83,7 @@
 	t.successes, t.failures, t.updatedAt = t.successes*decay, t.failures*decay, now
 	if failed {
 		t.failures++
+		t.failedAt = now
 		return
 	}
 	t.successes++
--- /dev/null
+++ b/simul/load.go
@@ -0,0 +1,105 @@
+package simul
+
+import (
+	"time"
+
+	"dandeliondoor/choose"
+)
+
+// Load describes the simulated service and its traffic. Servers is the number of
+// servers with Slots concurrent requests each, and Daemons the number of daemons
+// that ask one broker. Length is the simulated time. Stop is when all daemons lose
+// power, 0 for never.
+type Load struct {
+	Seed    uint64        `yaml:"seed"`
+	Servers int           `yaml:"servers"`
+	Slots   int           `yaml:"slots"`
+	Daemons int           `yaml:"daemons"`
+	Zones   int           `yaml:"zones"`
+	Length  time.Duration `yaml:"length"`
+	Stop    time.Duration `yaml:"stop"`
+	Health  Health        `yaml:"health"`
+	Retries Retries       `yaml:"retries"`
+	Classes []Class       `yaml:"classes"`
+	Bursts  []Burst       `yaml:"bursts"`
+}
+
+// Health describes the servers' unhealthy periods. UnhealthyShare is the share of
+// time in which a server is unhealthy, and Period the mean length of such a period.
+// HealthyFailures and UnhealthyFailures are the shares of requests that fail.
+type Health struct {
+	UnhealthyShare    float64       `yaml:"unhealthy_share"`
+	Period            time.Duration `yaml:"period"`
+	HealthyFailures   float64       `yaml:"healthy_failures"`
+	UnhealthyFailures float64       `yaml:"unhealthy_failures"`
+}
+
+// Retries are the limits of the service's retries, as in the daemons' settings.
+type Retries struct {
+	Ratio  float64       `yaml:"ratio"`
+	Window time.Duration `yaml:"window"`
+	Slack  float64       `yaml:"slack"`
+}
+
+func (r Retries) limits() choose.RetryLimits {
+	return choose.RetryLimits{Ratio: r.Ratio, Window: r.Window, Slack: r.Slack}
+}
+
+// Class is one kind of request. Rate is in requests per second, Work the mean
+// duration on a typical server, Objective the duration within which a response
+// earns full credit, and Deadline how long callers wait. Attempts bounds the
+// servers that an idempotent request is sent to.
+type Class struct {
+	Name       string        `yaml:"name"`
+	Rate       float64       `yaml:"rate"`
+	Work       time.Duration `yaml:"work"`
+	Objective  time.Duration `yaml:"objective"`
+	Deadline   time.Duration `yaml:"deadline"`
+	Idempotent bool          `yaml:"idempotent"`
+	Attempts   int           `yaml:"attempts"`
+	Priority   int           `yaml:"priority"`
+}
+
+// Burst multiplies the rate of all classes by Factor, from At for a period of For.
+type Burst struct {
+	At     time.Duration `yaml:"at"`
+	For    time.Duration `yaml:"for"`
+	Factor float64       `yaml:"factor"`
+}
+
+// factor returns the multiple of the usual rate at a time.
+func (l *Load) factor(at time.Duration) float64 {
+	factor := 1.0
+	for _, b := range l.Bursts {
+		if at >= b.At && at < b.At+b.For {
+			factor *= b.Factor
+		}
+	}
+	return factor
+}
+
+// maxFactor returns the highest multiple of the usual rate.
+func (l *Load) maxFactor() float64 {
+	highest := 1.0
+	for _, b := range l.Bursts {
+		highest = max(highest, l.factor(b.At))
+	}
+	return highest
+}
+
+// Defaults returns a load of one service with 20 servers of 3 slots, three tenths
+// of which are unhealthy at any time, and no classes.
+func Defaults() Load {
+	const (
+		servers, slots, daemons, zones = 20, 3, 48, 3
+		length                         = 30 * time.Second
+		period                         = 5 * time.Second
+		window                         = 10 * time.Second
+		ratio, slack                   = 0.2, 20
+	)
+	return Load{
+		Servers: servers, Slots: slots, Daemons: daemons, Zones: zones, Length: length,
+		Health:  Health{UnhealthyShare: 0.3, Period: period, HealthyFailures: 0.015, UnhealthyFailures: 0.85},
+		Retries: Retries{Ratio: ratio, Window: window, Slack: slack},
+	}
+}
--- /dev/null
+++ b/simul/run.go
@@ -0,0 +1,309 @@
+package simul
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"dandeliondoor/choose"
+	"dandeliondoor/topo"
+)
+
+const (
+	// route names the single route of the simulation.
+	routePrefix = "route-"
+	// waitDivisor and minWait bound the wait for a server, as the daemons do.
+	waitDivisor = 8
+	minWait     = 60 * time.Millisecond
+	retryDelay  = 25 * time.Millisecond
+	// returnShare is the share of the time left up to which callers wait before
+	// they return after a refusal.
+	returnShare = 1.0 / 3
+	// callerDelay is the time between a caller and its daemon, both ways.
+	callerDelay = 4 * time.Millisecond
+	// minRetryAfter is the shortest wait that a daemon asks of a caller.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// request is one request of a caller, with all its attempts and returns.
+type request struct {
+	class    *Class
+	daemon   string
+	zone     string
+	arrived  time.Duration
+	asked    time.Duration
+	deadline time.Duration
+	tried    []string
+	pending  int
+	sends    int
+	done     bool
+}
+
+// attempt is a request on one server.
+type attempt struct {
+	request *request
+	ticket  uint64
+	sent    time.Duration
+	server  *server
+	ended   bool
+}
+
+// simulation plays a load.
+type simulation struct {
+	load    *Load
+	random  *rand.Rand
+	pool    *choose.Pool
+	servers map[string]*server
+	order   []*server
+	queue   eventQueue
+	now     time.Duration
+	epoch   time.Time
+	ticket  uint64
+	report  *Report
+	open    map[*request]struct{}
+}
+
+// Run plays a load. Start is the time at which the virtual clock starts.
+func Run(start time.Time, load Load) *Report {
+	s := &simulation{
+		load:    &load,
+		random:  rand.New(rand.NewPCG(load.Seed, load.Seed)),
+		servers: make(map[string]*server),
+		epoch:   start,
+		open:    make(map[*request]struct{}),
+		report:  newReport(&load),
+	}
+	s.pool = choose.NewPool(start, load.Seed, load.Retries.limits())
+	s.addServers()
+	s.addArrivals()
+	for {
+		e, found := s.queue.next()
+		if !found || (load.Stop > 0 && e.at >= load.Stop) {
+			break
+		}
+		s.now = e.at
+		e.handle()
+	}
+	for r := range s.open {
+		s.report.class(r.class).Failed++
+		s.report.unserved = append(s.report.unserved, r.arrived)
+	}
+	s.report.measureSpread(s.order)
+	return s.report
+}
+
+func (s *simulation) time() time.Time { return s.epoch.Add(s.now) }
+
+func (s *simulation) after(wait time.Duration, handle func()) { s.queue.add(s.now+wait, handle) }
+
+func (s *simulation) addServers() {
+	records := make([]topo.Server, s.load.Servers)
+	for i := range records {
+		id := fmt.Sprintf("i-%04d", i)
+		records[i] = topo.Server{
+			ID: id, Service: "service", Zone: zoneName(i % s.load.Zones), Slots: s.load.Slots, Born: 1,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+		}
+		server := newServer(id, s.load, rand.New(rand.NewPCG(s.load.Seed, uint64(i))))
+		s.servers[id] = server
+		s.order = append(s.order, server)
+	}
+	s.pool.SetServers(s.epoch, records)
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
+// addArrivals draws the arrivals of all classes by thinning a Poisson process.
+func (s *simulation) addArrivals() {
+	highest := s.load.maxFactor()
+	for i := range s.load.Classes {
+		class := &s.load.Classes[i]
+		for at := 0.0; class.Rate > 0; {
+			at += s.random.ExpFloat64() / (class.Rate * highest)
+			arrival := seconds(at)
+			if arrival >= s.load.Length {
+				break
+			}
+			if s.random.Float64()*highest > s.load.factor(arrival) {
+				continue
+			}
+			s.queue.add(arrival, func() { s.arrive(class) })
+		}
+	}
+}
+
+func (s *simulation) arrive(class *Class) {
+	daemon := s.random.IntN(s.load.Daemons)
+	r := &request{
+		class: class, daemon: fmt.Sprintf("front-%d", daemon), zone: zoneName(daemon % s.load.Zones),
+		arrived: s.now, asked: s.now, deadline: s.now + class.Deadline,
+	}
+	s.open[r] = struct{}{}
+	s.report.class(class).Owed++
+	s.report.arrived = append(s.report.arrived, s.now)
+	s.queue.add(r.deadline, func() { s.finish(r, outcomeFailed) })
+	s.ask(r)
+}
+
+// ask requests a server for the next attempt of a request.
+func (s *simulation) ask(r *request) {
+	if r.done {
+		return
+	}
+	s.ticket++
+	retryable := r.class.Idempotent && r.sends+1 < r.class.Attempts
+	decision := s.pool.Choose(s.time(), choose.Ask{
+		Daemon: r.daemon, Ticket: s.ticket, Route: routePrefix + r.class.Name, Zone: r.zone, Priority: r.class.Priority,
+		Objective: r.class.Objective, Left: r.deadline - s.now, Exclude: r.tried, Repeat: r.sends > 0, Probe: retryable,
+	})
+	switch decision := decision.(type) {
+	case choose.Granted:
+		s.send(r, decision)
+	case choose.Refused:
+		s.refused(r, decision)
+	}
+}
+
+func (s *simulation) send(r *request, granted choose.Granted) {
+	server := s.servers[granted.Server]
+	a := &attempt{request: r, ticket: s.ticket, sent: s.now, server: server}
+	r.tried = append(r.tried, server.id)
+	r.sends++
+	r.pending++
+	server.arrivals = append(server.arrivals, s.now)
+	s.queue.add(r.deadline, func() { s.end(a, choose.TimedOut) })
+	switch {
+	case server.full():
+		s.end(a, choose.Shed)
+	case server.running < server.slots:
+		s.startWork(a)
+	default:
+		server.queue = append(server.queue, a)
+	}
+	if r.class.Idempotent && r.sends < r.class.Attempts {
+		s.after(max(granted.Patience, minWait), func() {
+			if !a.ended {
+				s.ask(r)
+			}
+		})
+	}
+}
+
+// startWork runs an attempt on its server and starts the next queued one at its end.
+func (s *simulation) startWork(a *attempt) {
+	server := a.server
+	server.running++
+	failed, duration := server.run(s.now, a.request.class.Work)
+	s.after(min(duration, max(a.request.deadline-s.now, 0)), func() {
+		server.running--
+		if !a.ended {
+			outcome := choose.Served
+			if failed {
+				outcome = choose.Failed
+				server.failures = append(server.failures, s.now)
+			}
+			s.end(a, outcome)
+		}
+		for len(server.queue) > 0 && server.running < server.slots {
+			next := server.queue[0]
+			server.queue = server.queue[1:]
+			if !next.ended {
+				s.startWork(next)
+			}
+		}
+	})
+}
+
+// end releases an attempt and continues its request.
+func (s *simulation) end(a *attempt, outcome choose.Outcome) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	r := a.request
+	r.pending--
+	s.pool.Release(s.time(), choose.Release{
+		Daemon: r.daemon, Ticket: a.ticket, Server: a.server.id, Outcome: outcome,
+		Duration: s.now - a.sent, Running: a.server.running, Waiting: len(a.server.queue),
+	})
+	switch {
+	case outcome == choose.Served:
+		s.finish(r, outcomeServed)
+	case r.done || r.pending > 0 || outcome == choose.TimedOut:
+	case outcome == choose.Shed && r.sends < max(r.class.Attempts, 1):
+		s.ask(r)
+	case outcome == choose.Failed && r.class.Idempotent && r.sends < r.class.Attempts:
+		s.ask(r)
+	case outcome == choose.Shed:
+		s.refuse(r, minRetryAfter)
+	default:
+		s.finish(r, outcomeFailed)
+	}
+}
+
+// refused handles a refusal of the pool: the daemon asks again for a short time,
+// and then the caller is refused.
+func (s *simulation) refused(r *request, refused choose.Refused) {
+	switch {
+	case r.pending > 0:
+	case refused.Reason == choose.ReasonBudget && r.sends > 0:
+		s.finish(r, outcomeFailed)
+	case refused.Reason != choose.ReasonBudget && s.now-r.asked < max(r.class.Objective/waitDivisor, minWait):
+		s.after(retryDelay, func() { s.ask(r) })
+	default:
+		s.refuse(r, refused.RetryAfter)
+	}
+}
+
+// refuse tells the caller to return later. It returns if a third of the time that
+// is left exceeds the wait.
+func (s *simulation) refuse(r *request, wait time.Duration) {
+	if r.done {
+		return
+	}
+	s.report.class(r.class).Refusals++
+	wait = max(wait, minRetryAfter)
+	if wait.Seconds() > returnShare*(r.deadline-s.now).Seconds() {
+		s.finish(r, outcomeRefused)
+		return
+	}
+	s.after(wait+callerDelay, func() {
+		r.asked, r.tried, r.sends = s.now, nil, 0
+		s.ask(r)
+	})
+}
+
+// outcome is how a request ended for its caller.
+type outcome uint8
+
+const (
+	outcomeServed outcome = iota
+	outcomeRefused
+	outcomeFailed
+)
+
+func (s *simulation) finish(r *request, end outcome) {
+	if r.done {
+		return
+	}
+	r.done = true
+	delete(s.open, r)
+	c := s.report.class(r.class)
+	duration := s.now - r.arrived
+	switch {
+	case end == outcomeServed && duration <= r.class.Objective:
+		c.InTime++
+	case end == outcomeServed:
+		c.Late++
+	case end == outcomeRefused:
+		c.Refused++
+	default:
+		c.Failed++
+	}
+	if end == outcomeServed {
+		c.durations = append(c.durations, duration)
+		return
+	}
+	s.report.unserved = append(s.report.unserved, r.arrived)
+}
