choose: count only servers without recent failures as sound

Cause: the platform's floor leaves out servers that failed within two seconds.

Change: busy servers that failed within 2 s do not count either; besides, 0.7 of all servers, sound or not, must not be idle, which replaces the limit of resting ones.

--- a/choose/floor.go
+++ b/choose/floor.go
@@ -11,8 +11,8 @@
 // times, because requests may fail later: those in flight do when their daemons lose
 // power.
 const (
-	// activeShare and probeActiveShare are the shares of servers that must not be
-	// idle. The latter applies to requests that can be retried, which keep all
+	// activeShare and probeActiveShare are the shares of sound servers that must not
+	// be idle. The latter applies to requests that can be retried, which keep all
 	// servers in use at the cost of retries.
 	activeShare      = 0.85
 	probeActiveShare = 1.0
@@ -21,11 +21,14 @@
 	// probeIdleLimit replaces idleLimit for requests that can be retried, so that
 	// they are sent to idle servers before the others are.
 	probeIdleLimit = 1300 * time.Millisecond
+	// unsoundTime is how long a server does not count as sound after a failure.
+	unsoundTime = 2 * time.Second
 	// failureRest is how long a server is left alone after a failure before
-	// idleLimit begins. The platform counts it as unhealthy for two seconds.
+	// idleLimit begins.
 	failureRest = 1500 * time.Millisecond
-	// maxRestingShare is the share of servers that may rest at the same time.
-	maxRestingShare = 0.2
+	// minActiveShare is the share of all servers, sound or not, that must not be
+	// idle.
+	minActiveShare = 0.7
 	// minAsksPerServer is the number of asks per server, decayed with idleLimit,
 	// below which requests that cannot be retried go to the best server only.
 	minAsksPerServer = 1.5
@@ -56,30 +59,34 @@
 	case p.asks.count < minAsksPerServer*float64(len(candidates)):
 		return nil
 	}
-	active, resting := 0, 0
+	active, sound, activeSound := 0, 0, 0
 	var best, bestResting *server
 	for _, s := range candidates {
+		sinceFailure := now.Sub(s.tally.failedAt)
 		if now.Sub(s.lastAssignedAt) < limit {
 			active++
+			if sinceFailure >= unsoundTime {
+				sound++
+				activeSound++
+			}
 			continue
 		}
-		usable := !now.Before(s.pausedUntil) && s.load(now) < s.Slots
-		rests := now.Sub(s.tally.failedAt) < failureRest+limit
-		if rests {
-			resting++
+		rests := sinceFailure < failureRest+limit
+		if !rests {
+			sound++
 		}
 		switch {
-		case !usable:
+		case now.Before(s.pausedUntil) || s.load(now) >= s.Slots:
 		case rests:
 			bestResting = p.healthier(now, bestResting, s)
 		default:
 			best = p.healthier(now, best, s)
 		}
 	}
-	count := float64(len(candidates))
-	needed := share * (count - min(float64(resting), maxRestingShare*count))
 	switch {
-	case float64(active) >= needed:
+	case best != nil && float64(activeSound) < share*float64(sound):
+		return best
+	case float64(active) >= minActiveShare*float64(len(candidates)):
 		return nil
 	case best != nil:
 		return best
