feed: a new process takes nothing from a stale source unless the store is down

Cause: a daemon that starts applied the reply of any daemon, also of one that had been cut off from the store. It used a configuration that had been replaced, and could use a server that had left, until its first read of the store.

Ruled out: that versions protect a new process (it has none to compare with).

Change: before it has a view, a daemon applies the reply of a stale source only if its own call to the store failed; a failed listing counts as such.

TestRestart failed before (front-2 used version 1; 2 of 2) and passes, 6 of 6.

A daemon that is cut before it knows one with access has no source, and the product gives it the servers' addresses only by the store. The test now waits until all daemons know each other before it cuts; its bounds and its assertions are the same. 40 of 40 passed beside the same load.

--- a/feed/read.go
+++ b/feed/read.go
@@ -98,14 +98,7 @@
 		return false
 	}
 	if err != nil {
-		if !s.storeDown {
-			s.log.WithError(err).WithField("age", now.Sub(s.View().FreshAt).String()).Warn("store lost; the known servers stay in use")
-			s.storeDown = true
-			s.retryWait = retryPause
-		}
-		s.storeFailedAt = now
-		s.retryAt = now.Add(s.jitter(s.retryWait))
-		s.retryWait = min(2*s.retryWait, maxRetryPause)
+		s.recordStoreFailure(now, err)
 		return false
 	}
 	confirmedAt := s.View().FreshAt
@@ -128,6 +121,18 @@
 	return true
 }
 
+// recordStoreFailure records a failed call to the store and when to try again.
+func (s *Service) recordStoreFailure(now time.Time, err error) {
+	if !s.storeDown {
+		s.log.WithError(err).WithField("age", now.Sub(s.View().FreshAt).String()).Warn("store lost; the known servers stay in use")
+		s.storeDown = true
+		s.retryWait = retryPause
+	}
+	s.storeFailedAt = now
+	s.retryAt = now.Add(s.jitter(s.retryWait))
+	s.retryWait = min(2*s.retryWait, maxRetryPause)
+}
+
 func (s *Service) updateConfigs(changes []topo.Change[*topo.Config], _ bool) {
 	s.update(func(state *state) bool {
 		changed := false
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -383,6 +383,10 @@
 func TestCutReaders(t *testing.T) {
 	t.Parallel()
 	z := newZone(t, 9)
+	for i := range z.feeds {
+		// A daemon that is cut before it knows one with access has no source.
+		z.waitFor(t, i, "all daemons", func(view *feed.View) bool { return len(view.Daemons) == len(z.feeds) })
+	}
 	for i := range 6 {
 		z.accesses[i].setCut(true)
 	}
@@ -484,6 +488,34 @@
 	}
 }
 
+// TestRestart starts daemons again beside one that was cut off before a server left
+// and a configuration was replaced. The new processes must use neither the server nor
+// the old configuration, although the other daemon offers both.
+func TestRestart(t *testing.T) {
+	t.Parallel()
+	z := newZone(t, 1)
+	z.accesses[0].setCut(true)
+	time.Sleep(2 * stale)
+	z.servers.remove("i-1")
+	z.configs.put("config", &topo.Config{Version: 2})
+	for i := 1; i < 4; i++ {
+		z.start(t, i)
+	}
+	for end := time.Now().Add(4 * stale); time.Now().Before(end); time.Sleep(interval / 4) {
+		for i, f := range z.feeds[1:] {
+			view := f.View()
+			if view.Ready() && (!without("i-1")(view) || view.Table.Config.Version != 2) {
+				t.Fatalf("front-%d uses servers %v and version %d", i+1, view.Servers, view.Table.Config.Version)
+			}
+		}
+	}
+	for i, f := range z.feeds[1:] {
+		if !f.View().Ready() {
+			t.Errorf("front-%d has no view", i+1)
+		}
+	}
+}
+
 // TestUnfit checks that a daemon reports itself as unfit to the daemon from
 // which it gets its view, which would be a cycle, and to all daemons while it
 // drains.
--- a/feed/source.go
+++ b/feed/source.go
@@ -62,7 +62,7 @@
 func (s *Service) listDaemons(ctx context.Context) bool {
 	changes, complete, err := s.sources.Daemons.Poll(ctx, 0)
 	if err != nil {
-		s.log.WithError(err).Warn("listing the daemons failed")
+		s.recordStoreFailure(time.Now(), err)
 		return false
 	}
 	s.updateDaemons(changes, complete)
@@ -201,10 +201,12 @@
 	request.Name = s.self.Name
 	reply, err := wire.Call[FollowRequest, FollowReply](call, s.peers, daemon.Address, followMethod, request)
 	now := time.Now()
-	if err == nil && (!reply.Known || reply.Unfit || reply.Age > s.settings.StaleAfter) {
+	stale := reply.Age > s.settings.StaleAfter
+	if err == nil && (!reply.Known || reply.Unfit || stale) {
 		err = errUnusableSource
 	}
-	if reply.Known && !reply.Unfit && !s.applyReply(now, reply) {
+	applies := reply.Known && !reply.Unfit && (!stale || s.acceptsStale(now))
+	if applies && !s.applyReply(now, reply) {
 		pause(ctx, idlePause)
 	}
 	if err != nil {
@@ -215,6 +217,13 @@
 	return true
 }
 
+// acceptsStale reports whether this daemon applies the data of a stale source. A
+// daemon without a view does so only if the store cannot be reached: a source that
+// was cut off may still have servers and a configuration that are gone.
+func (s *Service) acceptsStale(now time.Time) bool {
+	return s.View().Ready() || s.storeFailedRecently(now)
+}
+
 // followTimeout returns the timeout for a call to a source. It shrinks with the
 // age of the view, to leave time for trying another source.
 func (s *Service) followTimeout(now time.Time) time.Duration {
