slots: divide the retry slack of fallbacks among the daemons

Cause: a daemon without a broker used a fixed 0.02 of a broker's retry slack. With 443 daemons, all of which may be without one after a loss of power, the sum is 2.7 times what the platform allows for a service.

Ruled out: two brokers alone (0.6 of the slack by design).

Change: the fallback's slack is a broker's, divided by the number of daemons.

Before: TestHandOver 1707 retries of 630 with 443 daemons, 142880 of 5800 with 4100. After: within the slack.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -82,8 +82,8 @@
 	peers := wire.NewPeers(meter)
 	seed := rank.Score(settings.Name, settings.Zone)
 	f.feed = f.newFeed(platform, peers, seed)
-	broker := slots.NewBroker(f.retryLimits(1), seed)
-	fallback := slots.NewBroker(f.retryLimits(fallbackSlackShare), seed)
+	broker := slots.NewBroker(f.retryLimits(), seed)
+	fallback := slots.NewFallback(f.retryLimits(), seed)
 	f.broker, f.fallback = broker, fallback
 	f.feed.Watch(func(view *feed.View) { broker.SetView(time.Now(), view) })
 	f.feed.Watch(func(view *feed.View) { fallback.SetView(time.Now(), view) })
@@ -109,11 +109,6 @@
 	return f, nil
 }
 
-// fallbackSlackShare is the share of a broker's retry slack that a daemon uses
-// while it reaches no broker. It is small because many daemons may be in this state
-// at once.
-const fallbackSlackShare = 0.02
-
 func (f *Front) newFeed(platform Platform, peers *wire.Peers, seed uint64) *feed.Service {
 	self := topo.Daemon{
 		Name: f.settings.Name, Zone: f.settings.Zone, Address: f.settings.Listen.PeerAddress(),
@@ -128,9 +123,9 @@
 	}, f.logger.Part(feed.Name))
 }
 
-func (f *Front) retryLimits(share float64) choose.RetryLimits {
+func (f *Front) retryLimits() choose.RetryLimits {
 	retries := f.settings.Retries
-	return choose.RetryLimits{Ratio: retries.Ratio * retryRatioShare, Window: retries.Window, Slack: retries.Slack * brokerSlackShare * share}
+	return choose.RetryLimits{Ratio: retries.Ratio * retryRatioShare, Window: retries.Window, Slack: retries.Slack * brokerSlackShare}
 }
 
 // Start starts all services. They run until they are stopped or ctx ends.
@@ -163,8 +158,8 @@
 	}
 	settings.Logs.Level = f.settings.Logs.Level
 	f.settings.Retries = settings.Retries
-	f.broker.SetLimits(f.retryLimits(1))
-	f.fallback.SetLimits(f.retryLimits(fallbackSlackShare))
+	f.broker.SetLimits(f.retryLimits())
+	f.fallback.SetLimits(f.retryLimits())
 	return !reflect.DeepEqual(settings, f.settings), nil
 }
 
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -11,8 +11,9 @@
 
 // Broker holds the pools from which this daemon assigns servers.
 type Broker struct {
-	limits choose.RetryLimits
-	seed   uint64
+	limits   choose.RetryLimits
+	seed     uint64
+	fallback bool
 
 	mutex sync.Mutex
 	view  *feed.View
@@ -25,6 +26,15 @@
 	return &Broker{limits: limits, seed: seed, view: &feed.View{}, pools: make(map[PoolKey]*choose.Pool)}
 }
 
+// NewFallback returns a broker for a daemon that reaches no other broker. Its retry
+// slack is divided by the number of daemons, since all of them may be in this state
+// at once.
+func NewFallback(limits choose.RetryLimits, seed uint64) *Broker {
+	b := NewBroker(limits, seed)
+	b.fallback = true
+	return b
+}
+
 // SetLimits replaces the retry limits.
 func (b *Broker) SetLimits(limits choose.RetryLimits) {
 	b.mutex.Lock()
@@ -48,6 +58,7 @@
 			continue
 		}
 		pool.SetServers(now, key.servers(servers))
+		pool.SetLimits(b.poolLimits(key))
 	}
 }
 
@@ -87,9 +98,12 @@
 }
 
 // poolLimits returns the retry limits of one part. The slack is divided equally
-// among the parts of a service.
+// among the parts of a service, and that of fallbacks among the daemons.
 func (b *Broker) poolLimits(key PoolKey) choose.RetryLimits {
 	limits := b.limits
 	limits.Slack /= float64(max(key.Parts, 1))
+	if b.fallback {
+		limits.Slack /= float64(max(len(b.view.Daemons), 1))
+	}
 	return limits
 }
