Reset a cut response of HTTP/1.0; tests of late copies and of stops under load

Cause: a response to HTTP/1.0 without a length ends with its connection, so one that was cut looked complete.

Ruled out: HTTP/1.1, where the length or the chunks tell (TestFrontTruncatedResponse).

Change: such a connection is reset. A reset is not used for HTTP/1.1, since it could destroy earlier pipelined responses.

Tests: TestFrontTruncatedUndelimited failed before. TestLateCopy fails without the check of idle connections and of ids, TestFrontStopUnderLoad without the wait for requests in flight; both pass on the old code.

--- a/front/handler.go
+++ b/front/handler.go
@@ -208,13 +208,27 @@
 	err := h.write(w, resp)
 	if err != nil {
 		h.logAborted(e, "response aborted: "+err.Error())
-		panic(http.ErrAbortHandler)
+		h.abort(w, e)
+		return
 	}
 	h.metrics.responses.WithLabelValues(e.service, statusClass(resp.status)).Inc()
 	h.metrics.durations.Observe(time.Since(e.arrived).Seconds())
 	h.logEntry(e).WithField("status", resp.status).Info("answer passed on")
 }
 
+// abort ends the connection of a caller that got a part of a response. The end of the
+// connection delimits a response to HTTP/1.0, so it must be a reset there; otherwise
+// a reset could destroy earlier responses that are still on their way.
+func (h *Handler) abort(w http.ResponseWriter, e *exchange) {
+	if e.request.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	if err := httpd.Abort(w); err != nil {
+		h.log.WithField("request_id", e.id).WithError(err).Debug("resetting the caller's connection failed")
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (h *Handler) write(w http.ResponseWriter, resp *serverResponse) error {
 	if resp.rest == nil {
 		w.Header().Set("Content-Length", contentLength(resp))
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -15,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/fakes"
 	"dandeliondoor/platform"
 	"dandeliondoor/proto"
@@ -231,6 +234,104 @@
 	}
 }
 
+// TestFrontTruncatedUndelimited is the same for a caller of HTTP/1.0, whose response
+// ends with the connection. The connection must be reset.
+func TestFrontTruncatedUndelimited(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 1, 1)
+	f.setServerFaults(fakes.ServerFaults{Short: true, Size: 4 << 20})
+	conn, err := net.Dial("tcp", f.fronts[0].callers.String())
+	must(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /bales/1 HTTP/1.0\r\nHost: souk.example\r\n"+proto.HeaderRequestID+
+		": r-1\r\n"+proto.HeaderDeadline+": 2500\r\nContent-Length: 0\r\n\r\n")
+	must(t, err)
+	data, err := io.ReadAll(conn)
+	if err == nil {
+		t.Errorf("the %d bytes of a truncated response look complete", len(data))
+	}
+}
+
+// TestFrontStopUnderLoad stops a daemon while callers send requests to it over kept
+// connections, without a balancer that turns them away. Each request that the daemon
+// has read must be answered; a caller may find its connection closed only before it
+// has sent anything on it since the last answer.
+func TestFrontStopUnderLoad(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 2, 4)
+	f.setServerFaults(fakes.ServerFaults{Work: 20 * time.Millisecond})
+	stopping := f.fronts[0]
+	const callers = 12
+	results := make(chan stopResult, callers)
+	for i := range callers {
+		go func() { results <- callUntilClosed(stopping.callers, fmt.Sprintf("c%d", i)) }()
+	}
+	time.Sleep(500 * time.Millisecond)
+	stopping.signal(t, syscall.SIGTERM)
+	answered := 0
+	for range callers {
+		result := <-results
+		answered += result.answered
+		for _, id := range result.cut {
+			if runs := f.runCount(id); runs > 0 {
+				t.Errorf("request %s ran %d times and got no answer", id, runs)
+			}
+		}
+		if result.err != nil {
+			t.Error(result.err)
+		}
+	}
+	if code := stopping.waitExit(t); code != 0 {
+		t.Errorf("got exit code %d, want 0", code)
+	}
+	if answered == 0 {
+		t.Error("no request was answered")
+	}
+}
+
+// stopResult is what a caller saw until a daemon accepted no connection any more. Cut
+// are the requests that got no complete answer.
+type stopResult struct {
+	answered int
+	cut      []string
+	err      error
+}
+
+// callUntilClosed sends one request after another until no connection is accepted,
+// each over the same connection unless that is closed.
+func callUntilClosed(address netip.AddrPort, name string) stopResult {
+	var result stopResult
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: waitTimeout}
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("%s-%d", name, i)
+		request, err := http.NewRequest(http.MethodPost, "http://"+address.String()+"/bales/1", io.NopCloser(strings.NewReader("lot")))
+		if err != nil {
+			result.err = err
+			return result
+		}
+		request.ContentLength = 3
+		request.Host = "souk.example"
+		request.Header.Set(proto.HeaderRequestID, id)
+		request.Header.Set(proto.HeaderDeadline, "2500")
+		response, err := client.Do(request)
+		var opError *net.OpError
+		if errors.As(err, &opError) && opError.Op == "dial" {
+			return result
+		}
+		if err != nil {
+			result.cut = append(result.cut, id)
+			continue
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if err != nil {
+			result.cut = append(result.cut, id)
+			continue
+		}
+		result.answered++
+	}
+}
+
 // TestFrontPausedDaemon pauses a daemon with SIGSTOP while a route is added. A request
 // for the new route that arrives during the pause must not be rejected for lack of a
 // route when the daemon resumes with its old configuration.
--- a/upconn/conn_test.go
+++ b/upconn/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -133,6 +134,58 @@
 	}
 }
 
+// TestLateCopy lets an upstream send a second copy of its response while the
+// connection is idle in the pool. The next request must use another connection, or
+// skip the copy, but never get it.
+func TestLateCopy(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	const delay = 30 * time.Millisecond
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go respondTwice(conn, delay)
+		}
+	}()
+	target := upconn.Target{Address: netip.MustParseAddrPort(listener.Addr().String()), ID: "i-1"}
+	pool := upconn.NewPool(func() {})
+	for i, wait := range []time.Duration{delay / 2, delay, 2 * delay, 0, 0} {
+		id := strconv.Itoa(i)
+		got, err := do(context.Background(), pool, target, id)
+		if err != nil || got != id {
+			t.Errorf("request %d: got body %q, error %v", i, got, err)
+		}
+		time.Sleep(wait)
+	}
+}
+
+// respondTwice responds to each request with its ID, and once more after a delay.
+func respondTwice(conn net.Conn, delay time.Duration) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		response := rawResponse(request.Header.Get(idHeader), request.Header.Get(idHeader))
+		if _, err := io.WriteString(conn, response); err != nil {
+			return
+		}
+		time.AfterFunc(delay, func() { _, _ = io.WriteString(conn, response) })
+	}
+}
+
 // TestDialError connects to a port without a listener. The error must be a
 // DialError, which implies that no part of the request was sent.
 func TestDialError(t *testing.T) {
