feed: one daemon reads the store for all zones

Cause: five zones each had a reader, and just after a start most daemons read the store themselves, since a source without a view was avoided for two seconds.

Change: zones are ordered; the first usable daemon of a zone gets the view from the readers of the zones before it, and only the first zone's reads the store. Sources pass on each confirmation by the store, so that a further level adds no age. A source without a view holds the call of a daemon that has none. At the first start daemons wait 2.5 s for their sources. A daemon that was started again reads the store once after its first source failed. A source that gets its view from this daemon is avoided for 0.3 s instead of 2 s.

TestZones is new; it failed for a reader that loses the store before the shorter avoidance.

--- a/feed/message.go
+++ b/feed/message.go
@@ -13,13 +13,14 @@
 	followMethod = "Feed.Follow"
 )
 
-// FollowRequest describes the data that the follower already has. The revisions
-// in Servers and Daemons are valid only for the process with that Incarnation;
-// the checksums in ServersSum and DaemonsSum are valid for any process. Config
-// is the version of the configuration, and Name is the follower's name.
+// FollowRequest describes the data that the follower already has. Confirmed and the
+// revisions in Servers and Daemons are valid only for the process with that
+// Incarnation; the checksums in ServersSum and DaemonsSum are valid for any process.
+// Config is the version of the configuration, and Name is the follower's name.
 type FollowRequest struct {
 	Name        string
 	Incarnation uint64
+	Confirmed   uint64
 	Config      uint64
 	Servers     uint64
 	ServersSum  uint64
@@ -28,14 +29,15 @@
 }
 
 // FollowReply contains the data that is newer than the follower's. Age is the
-// time since the store last confirmed the data, and Path lists the daemons that
-// passed it on, the replying daemon last. Known is set once the replying daemon
+// time since the store last confirmed the data, Confirmed counts the confirmations,
+// and Path lists the daemons that passed the data on, the replying daemon last. Known is set once the replying daemon
 // has a configuration and a list of servers. Unfit is set if the replying daemon
 // is stopping or gets its view from the follower. Without Known, or with Unfit,
 // no data is sent.
 type FollowReply struct {
 	Incarnation     uint64
 	Age             time.Duration
+	Confirmed       uint64
 	Known           bool
 	Unfit           bool
 	Path            []string
--- a/feed/read.go
+++ b/feed/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -56,18 +57,12 @@
 	}
 }
 
-// isReader reports whether this daemon reads the store for its zone: it has to
-// when no daemon before it in the order of ranks, up to maxReaders, is usable.
+// isReader reports whether this daemon reads the store: it has to when no daemon of
+// its zone before it in the order of ranks, up to maxReaders, is usable, and none
+// that may read for the zones before its own.
 func (s *Service) isReader(now time.Time) bool {
-	for i, daemon := range s.rankedDaemons() {
-		if daemon.Name == s.self.Name || i == maxReaders {
-			return true
-		}
-		if s.usable(now, daemon) {
-			return false
-		}
-	}
-	return true
+	zones := s.rankZones()
+	return !slices.ContainsFunc(zones.readersBefore(s.self), func(d topo.Daemon) bool { return s.usable(now, d) })
 }
 
 // readOnce reads the servers and the configuration once, for a daemon that has had
--- a/feed/receiver.go
+++ b/feed/receiver.go
@@ -19,11 +19,12 @@
 	return []wire.Receiver{{Name: receiverName, Methods: &receiver{service: s, session: session}}}
 }
 
-// Follow returns the data that is newer than the follower's. If there is none,
-// it waits up to followHold for a change.
+// Follow returns the data that is newer than the follower's, or its confirmation by
+// the store. If there is neither, it waits for one, and so it does without a view if
+// the follower has none either.
 func (r *receiver) Follow(request FollowRequest, reply *FollowReply) error {
 	s := r.service
-	timer := time.NewTimer(followHold)
+	timer := time.NewTimer(s.followHold())
 	defer timer.Stop()
 	for {
 		changed := s.changeSignal()
@@ -59,12 +60,18 @@
 		Path:        append(slices.Clone(state.path), s.self.Name),
 		Known:       state.config != nil && state.serversKnown,
 		Age:         now.Sub(state.freshAt),
+		Confirmed:   s.confirmed,
 		ServersRev:  state.servers.Rev(),
 		DaemonsRev:  state.daemons.Rev(),
 	}
-	if !reply.Known || reply.Unfit {
+	switch {
+	case reply.Unfit:
 		return true
+	case !reply.Known:
+		// A follower with a view should try another source at once.
+		return request.Config > 0
 	}
+	confirmed := request.Incarnation != s.incarnation || request.Confirmed != s.confirmed
 	request.Servers = baseRev(s.incarnation, request.Incarnation, state.servers, request.Servers, request.ServersSum)
 	request.Daemons = baseRev(s.incarnation, request.Incarnation, state.daemons, request.Daemons, request.DaemonsSum)
 	if state.config.Version > request.Config {
@@ -73,7 +80,7 @@
 	servers, complete := state.servers.Since(request.Servers)
 	reply.Servers, reply.ServersComplete = toWire(now, servers, s.removals.held), complete
 	reply.Daemons, reply.DaemonsComplete = state.daemons.Since(request.Daemons)
-	return reply.Config != nil || complete || len(servers) > 0 ||
+	return confirmed || reply.Config != nil || complete || len(servers) > 0 ||
 		reply.DaemonsComplete || len(reply.Daemons) > 0 || reply.Age > s.settings.StaleAfter
 }
 
--- a/feed/service.go
+++ b/feed/service.go
@@ -70,12 +70,13 @@
 	watchers []func(view *View)
 	draining atomic.Bool
 
-	// mutex guards random, state, removals, changed and followed. Only run's goroutine
-	// writes followed, and only it uses the fields after followed.
-	mutex    sync.Mutex
-	state    *state
-	removals removalHold
-	changed  chan struct{}
+	// mutex guards random, state, removals, confirmed, changed and followed. Only run's
+	// goroutine writes followed, and only it uses the fields after followed.
+	mutex     sync.Mutex
+	state     *state
+	removals  removalHold
+	confirmed uint64
+	changed   chan struct{}
 
 	// watching serializes the calls of watchers, each with the latest view.
 	watching sync.Mutex
@@ -83,6 +84,7 @@
 	followed followedSource
 	avoided  map[string]time.Time
 
+	patientUntil  time.Time
 	storeDown     bool
 	storeFailedAt time.Time
 	retryAt       time.Time
@@ -159,9 +161,14 @@
 // the view sets RenewedAt. Views don't get that old while the store can be read.
 const renewedFactor = 2
 
+// confirmationDivisor is the divisor of Settings.Interval that gives by how much a
+// view must be fresher to count as confirmed. The time since the confirmation is
+// passed on with an error of the latency.
+const confirmationDivisor = 4
+
 // update modifies the state with change, which reports whether the contents of
 // the view differ, and publishes a new view. If they differ, it also notifies
-// the watchers and the followers.
+// the watchers. The followers are notified of a confirmation, too.
 func (s *Service) update(change func(state *state) bool) {
 	s.mutex.Lock()
 	before := s.state.config
@@ -170,6 +177,10 @@
 	if s.state.freshAt.Sub(confirmedAt) > renewedFactor*s.settings.StaleAfter {
 		s.state.renewedAt = time.Now()
 	}
+	confirmed := s.state.freshAt.Sub(confirmedAt) > s.settings.Interval/confirmationDivisor
+	if confirmed {
+		s.confirmed++
+	}
 	if changed {
 		s.view.Store(s.state.snapshot(s.view.Load()))
 	} else {
@@ -183,8 +194,10 @@
 		s.log.WithField("version", config.Version).WithField("routes", len(config.Routes)).
 			WithField("source", source).Info("configuration in force")
 	}
-	if changed {
+	if changed || confirmed {
 		s.notifyFollowers()
+	}
+	if changed {
 		s.notifyWatchers()
 	}
 }
@@ -230,4 +243,8 @@
 	return state
 }
 
-var errUnusableSource = errors.New("source is not ready, stale, stopping, or gets its view from this daemon")
+var (
+	errNoView      = errors.New("source has no view yet")
+	errStaleSource = errors.New("source is stale")
+	errUnfitSource = errors.New("source is stopping or gets its view from this daemon")
+)
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -116,8 +116,8 @@
 	return nil
 }
 
-// zone contains the daemons of one availability zone, their fake store and the
-// links through which other daemons reach them.
+// zone contains the daemons of one availability zone, or of several ones in turn, their
+// fake store and the links through which other daemons reach them.
 type zone struct {
 	configs  *table[*topo.Config]
 	servers  *table[topo.Server]
@@ -125,6 +125,7 @@
 	feeds    []*feed.Service
 	accesses []*storeAccess
 	links    []*fakes.Link
+	names    []string
 
 	interval time.Duration
 	stale    time.Duration
@@ -140,7 +141,13 @@
 // and feed.Settings.StaleAfter.
 func newZoneWithTimes(t *testing.T, count int, interval, stale time.Duration) *zone {
 	t.Helper()
-	z := &zone{
+	return newFleet(t, count, []string{"medina"}, interval, stale)
+}
+
+// newFleet is like newZoneWithTimes with the daemons in several zones in turn.
+func newFleet(t *testing.T, count int, names []string, interval, stale time.Duration) *zone {
+	t.Helper()
+	z := &zone{names: names,
 		configs: newTable[*topo.Config](), servers: newTable[topo.Server](), daemons: newTable[topo.Daemon](),
 		interval: interval, stale: stale,
 	}
@@ -171,7 +178,7 @@
 	meter := &wire.Meter{}
 	peers := wire.NewPeers(meter)
 	self := topo.Daemon{
-		Name: fmt.Sprintf("front-%d", i), Zone: "medina", Capacity: 1,
+		Name: fmt.Sprintf("front-%d", i), Zone: z.names[i%len(z.names)], Capacity: 1,
 		Address: netip.MustParseAddrPort(linkListener.Addr().String()),
 	}
 	service := feed.New(self, feed.Sources{
@@ -253,6 +260,18 @@
 	t.Fatalf("%d daemons read the store, want only one", readers)
 }
 
+// reader returns the daemon that reads the store.
+func (z *zone) reader(t *testing.T) int {
+	t.Helper()
+	for i, f := range z.feeds {
+		if z.source(i) == f.Self().Name {
+			return i
+		}
+	}
+	t.Fatal("no daemon reads the store")
+	return 0
+}
+
 // calls returns the number of calls to the store of each daemon.
 func (z *zone) calls() []int {
 	var calls []int
@@ -377,6 +396,35 @@
 	}
 }
 
+// TestZones checks that one daemon of a fleet with three zones reads the store for
+// all of them, that all daemons get a change through it within a short time, and that
+// they still do after it has lost the store or its links.
+func TestZones(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		fault func(z *zone, reader int)
+	}{
+		{name: "no fault", fault: func(*zone, int) {}},
+		{name: "reader loses its links", fault: func(z *zone, reader int) { z.links[reader].Faults.Set(fakes.LinkFaults{DropForward: true, DropBackward: true}) }},
+		{name: "reader loses the store", fault: func(z *zone, reader int) { z.accesses[reader].setCut(true) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			z := newFleet(t, 12, []string{"jdid", "medina", "sidi"}, interval, stale)
+			z.waitForSingleReader(t)
+			test.fault(z, z.reader(t))
+			if oldest := z.oldest(6 * stale); oldest > 3*stale {
+				t.Errorf("a view was %s old, want at most %s", oldest, 3*stale)
+			}
+			z.servers.remove("i-1")
+			for i := range z.feeds {
+				z.waitFor(t, i, "removal", without("i-1"))
+			}
+		})
+	}
+}
+
 // TestCutReaders checks that daemons without access to the store get the removal
 // of a server from other daemons. Six of nine daemons cannot reach the store
 // when the server is removed. No daemon may have the server again once they can.
--- a/feed/source.go
+++ b/feed/source.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/kernel"
 	"dandeliondoor/topo"
 	"dandeliondoor/wire"
@@ -15,6 +17,12 @@
 	// firstStartWait is the wait before listing the daemons when the whole fleet
 	// starts for the first time. It lets all daemons register themselves.
 	firstStartWait = 600 * time.Millisecond
+	// firstStartPatience is how long the daemons wait for a view from their sources
+	// when the whole fleet starts for the first time, before they read the store.
+	firstStartPatience = 2500 * time.Millisecond
+	// startTimeout is the timeout of calls to sources by a daemon that was started
+	// again and has no view: the store answers sooner than a source that is down.
+	startTimeout = 250 * time.Millisecond
 	// retryPause and maxRetryPause are the first and the longest wait of the
 	// exponential backoff after failed calls, before jitter.
 	retryPause    = 200 * time.Millisecond
@@ -22,6 +30,10 @@
 	// maxReaders is the number of daemons of a zone, by rank, that may read the
 	// store for the others when those before them cannot.
 	maxReaders = 4
+	// maxZoneReaders is the number of readers of another zone that are tried as
+	// sources, and maxSources the number of all readers that are.
+	maxZoneReaders = 2
+	maxSources     = 6
 	// fanOut is the maximum number of children of a daemon in the tree of
 	// sources.
 	fanOut = 8
@@ -38,6 +50,9 @@
 	// avoidDuration is how long a daemon is not followed after a failed call or
 	// a stale reply.
 	avoidDuration = 2 * time.Second
+	// unfitDuration replaces avoidDuration for a source that gets its view from this
+	// daemon or stops. It finds another source soon if this daemon has none to offer.
+	unfitDuration = 300 * time.Millisecond
 )
 
 // run lists the daemons, registers this one unless it is listed already, and
@@ -50,6 +65,7 @@
 	if s.settings.FirstStart {
 		pause(ctx, firstStartWait)
 		s.listDaemons(ctx)
+		s.patientUntil = time.Now().Add(firstStartPatience)
 	}
 	for ctx.Err() == nil {
 		s.step(ctx)
@@ -86,14 +102,13 @@
 	return nil
 }
 
-// step updates the view once from the first usable source of the zone, or by
-// reading the store.
+// step updates the view once from the first usable source, or by reading the store.
 func (s *Service) step(ctx context.Context) {
-	ranked := s.rankedDaemons()
-	rank := slices.IndexFunc(ranked, func(d topo.Daemon) bool { return d.Name == s.self.Name })
-	sources := sourcesFor(ranked, rank)
+	zones := s.rankZones()
+	rank := zones.rank(s.self)
+	sources := zones.sources(s.self)
 	if s.storeFailedRecently(time.Now()) {
-		sources = append(sources, ranked[rank+1:min(len(ranked), rank+1+maxReaders)]...)
+		sources = append(sources, zones.others(s.self)...)
 	}
 	for _, daemon := range sources {
 		if now := time.Now(); s.isOverdue(now, rank) && !s.storeFailedRecently(now) && s.View().Ready() {
@@ -104,6 +119,9 @@
 		if s.usable(time.Now(), daemon) && s.follow(ctx, daemon) {
 			return
 		}
+		if now := time.Now(); !s.View().Ready() && !s.isPatient(now) && !s.storeFailedRecently(now) {
+			break
+		}
 	}
 	if s.storeFailedRecently(time.Now()) && !s.View().Ready() && s.followSeeds(ctx) {
 		return
@@ -112,6 +130,10 @@
 	switch {
 	case s.storeFailedRecently(now) && now.Before(s.retryAt):
 		pause(ctx, min(s.retryAt.Sub(now), retryPause))
+	case s.isPatient(now) && len(sources) > 0:
+		pause(ctx, s.jitter(idlePause))
+	case !s.View().Ready() && len(sources) > 0:
+		s.readOnce(ctx)
 	case rank < maxReaders:
 		s.readStore(ctx)
 	case s.isOverdue(now, rank):
@@ -121,6 +143,12 @@
 	}
 }
 
+// isPatient reports whether this daemon waits for a view from its sources although it
+// has none.
+func (s *Service) isPatient(now time.Time) bool {
+	return !s.View().Ready() && now.Before(s.patientUntil)
+}
+
 // storeFailedRecently reports whether a call of this daemon to the store failed
 // within storeFailureTTL. Older failures are ignored, because a daemon that
 // follows another one doesn't call the store and so doesn't notice that it works
@@ -147,48 +175,44 @@
 	return false
 }
 
-// sourcesFor returns the sources that the daemon of a rank tries, in this order:
-// its parent in a tree with fanOut children per node, and then the readers of
-// the zone.
-func sourcesFor(ranked []topo.Daemon, rank int) []topo.Daemon {
-	if rank <= maxReaders {
-		return slices.Clone(ranked[:rank])
-	}
-	return append([]topo.Daemon{ranked[(rank-1)/fanOut]}, ranked[:maxReaders]...)
-}
-
 // usable reports whether a daemon is reachable and not avoided as a source.
 func (s *Service) usable(now time.Time, daemon topo.Daemon) bool {
 	return s.peers.Usable(daemon.Address) && !s.isAvoided(now, daemon.Name)
 }
 
+// avoid excludes a source for a while after an error, unless neither the source nor
+// this daemon has a view yet.
+func (s *Service) avoid(now time.Time, daemon topo.Daemon, err error) {
+	switch {
+	case errors.Is(err, errNoView) && !s.View().Ready():
+	case errors.Is(err, errUnfitSource):
+		s.avoided[daemon.Name] = now.Add(unfitDuration)
+	default:
+		s.avoided[daemon.Name] = now.Add(avoidDuration)
+	}
+}
+
 // isAvoided reports whether a daemon failed as a source within avoidDuration.
 func (s *Service) isAvoided(now time.Time, name string) bool {
 	return now.Before(s.avoided[name])
 }
 
-// rankedDaemons returns the daemons of this zone, including this one, by rank.
-func (s *Service) rankedDaemons() []topo.Daemon {
-	daemons := []topo.Daemon{s.self}
-	for _, daemon := range s.View().Daemons {
-		if daemon.Zone == s.self.Zone && daemon.Name != s.self.Name {
-			daemons = append(daemons, daemon)
-		}
-	}
-	return topo.RankDaemons(receiverName+"/"+s.self.Zone, daemons)
-}
-
-// followHold is how long a followed daemon holds a call without a change.
-// maxFollowTimeout is the longest timeout of the call; heartbeats detect a lost
-// connection earlier.
+// The timeouts of calls to sources, beyond the time that a source may hold a call.
+// Heartbeats detect a lost connection earlier.
 const (
-	followHold       = 400 * time.Millisecond
-	maxFollowTimeout = 900 * time.Millisecond
-	// minFollowTimeout is the shortest timeout of a call. It exceeds followHold,
-	// so that the reply to a call without a change still arrives in time.
-	minFollowTimeout = followHold + 100*time.Millisecond
+	// followMargin is the time beyond Settings.Interval that a source holds a call
+	// while the store does not confirm its view.
+	followMargin = 150 * time.Millisecond
+	// minFollowMargin and maxFollowMargin bound the timeout of a call. The minimum
+	// leaves time for the reply to a call without a change.
+	minFollowMargin = 100 * time.Millisecond
+	maxFollowMargin = 500 * time.Millisecond
 )
 
+// followHold returns how long a source holds a call without a change or a
+// confirmation.
+func (s *Service) followHold() time.Duration { return s.settings.Interval + followMargin }
+
 // follow makes one call to a daemon, applies the reply and reports whether the
 // daemon is a good source.
 func (s *Service) follow(ctx context.Context, daemon topo.Daemon) bool {
@@ -202,15 +226,21 @@
 	reply, err := wire.Call[FollowRequest, FollowReply](call, s.peers, daemon.Address, followMethod, request)
 	now := time.Now()
 	stale := reply.Age > s.settings.StaleAfter
-	if err == nil && (!reply.Known || reply.Unfit || stale) {
-		err = errUnusableSource
+	switch {
+	case err != nil:
+	case reply.Unfit:
+		err = errUnfitSource
+	case !reply.Known:
+		err = errNoView
+	case stale:
+		err = errStaleSource
 	}
 	applies := reply.Known && !reply.Unfit && (!stale || s.acceptsStale(now))
 	if applies && !s.applyReply(now, reply) {
 		pause(ctx, idlePause)
 	}
 	if err != nil {
-		s.avoided[daemon.Name] = now.Add(avoidDuration)
+		s.avoid(now, daemon, err)
 		s.log.WithField("source", daemon.Name).WithError(err).Debug("source failed; trying another one")
 		return false
 	}
@@ -227,8 +257,12 @@
 // followTimeout returns the timeout for a call to a source. It shrinks with the
 // age of the view, to leave time for trying another source.
 func (s *Service) followTimeout(now time.Time) time.Duration {
-	left := s.settings.StaleAfter + minFollowTimeout - now.Sub(s.View().FreshAt)
-	return min(max(left, minFollowTimeout), maxFollowTimeout)
+	if !s.View().Ready() && !s.isPatient(now) && !s.storeFailedRecently(now) {
+		return startTimeout
+	}
+	hold := s.followHold()
+	left := s.settings.StaleAfter + hold + minFollowMargin - now.Sub(s.View().FreshAt)
+	return min(max(left, hold+minFollowMargin), hold+maxFollowMargin)
 }
 
 // setSource switches to another source. The first request to it reports
@@ -272,7 +306,7 @@
 		s.followed.position.Config = s.state.config.Version
 	}
 	if newer {
-		s.followed.position.Incarnation = reply.Incarnation
+		s.followed.position.Incarnation, s.followed.position.Confirmed = reply.Incarnation, reply.Confirmed
 		s.followed.position.Servers, s.followed.position.Daemons = reply.ServersRev, reply.DaemonsRev
 	}
 	return newer
--- /dev/null
+++ b/feed/zones.go
@@ -0,0 +1,80 @@
+package feed
+
+import (
+	"cmp"
+	"slices"
+
+	"dandeliondoor/rank"
+	"dandeliondoor/topo"
+)
+
+// zoneRanking orders the daemons of the fleet as sources of the view. One daemon reads
+// the store. The first usable daemon of each other zone gets the view from a zone
+// before its own, and the daemons of a zone form a tree below it.
+type zoneRanking struct {
+	zones  []string
+	ranked map[string][]topo.Daemon
+}
+
+// rankZones ranks the daemons of the current view, including this one.
+func (s *Service) rankZones() zoneRanking {
+	daemons := map[string][]topo.Daemon{s.self.Zone: {s.self}}
+	for _, daemon := range s.View().Daemons {
+		if daemon.Name != s.self.Name {
+			daemons[daemon.Zone] = append(daemons[daemon.Zone], daemon)
+		}
+	}
+	ranking := zoneRanking{ranked: make(map[string][]topo.Daemon, len(daemons))}
+	for zone, members := range daemons {
+		ranking.zones = append(ranking.zones, zone)
+		ranking.ranked[zone] = topo.RankDaemons(receiverName+"/"+zone, members)
+	}
+	slices.SortFunc(ranking.zones, func(a, b string) int {
+		return cmp.Compare(rank.Score(receiverName, a), rank.Score(receiverName, b))
+	})
+	return ranking
+}
+
+// rank returns the position of a daemon among those of its zone.
+func (z zoneRanking) rank(self topo.Daemon) int {
+	return slices.IndexFunc(z.ranked[self.Zone], func(d topo.Daemon) bool { return d.Name == self.Name })
+}
+
+// readersOf returns the daemons that may read the store for a zone.
+func (z zoneRanking) readersOf(zone string) []topo.Daemon {
+	ranked := z.ranked[zone]
+	return ranked[:min(len(ranked), maxReaders)]
+}
+
+// readersBefore returns the daemons that read the store rather than this one: those of
+// its own zone, and then those of the zones before it.
+func (z zoneRanking) readersBefore(self topo.Daemon) []topo.Daemon {
+	own := z.readersOf(self.Zone)
+	readers := slices.Clone(own[:min(z.rank(self), len(own))])
+	for _, zone := range z.zones[:slices.Index(z.zones, self.Zone)] {
+		readers = append(readers, z.readersOf(zone)[:min(len(z.readersOf(zone)), maxZoneReaders)]...)
+	}
+	return readers[:min(len(readers), maxSources)]
+}
+
+// sources returns the daemons that a daemon tries as sources, in this order: its
+// parent in the tree of its zone, the readers of the zone, and for a reader those of
+// the zones before.
+func (z zoneRanking) sources(self topo.Daemon) []topo.Daemon {
+	own := z.rank(self)
+	if own <= maxReaders {
+		return z.readersBefore(self)
+	}
+	return append([]topo.Daemon{z.ranked[self.Zone][(own-1)/fanOut]}, z.readersOf(self.Zone)...)
+}
+
+// others returns further sources for a daemon that cannot reach the store: the next
+// ones of its zone and the readers of the zones after it.
+func (z zoneRanking) others(self topo.Daemon) []topo.Daemon {
+	ranked, own := z.ranked[self.Zone], z.rank(self)
+	others := slices.Clone(ranked[own+1 : min(len(ranked), own+1+maxReaders)])
+	for _, zone := range z.zones[slices.Index(z.zones, self.Zone)+1:] {
+		others = append(others, z.readersOf(zone)[:min(len(z.readersOf(zone)), maxZoneReaders)]...)
+	}
+	return others[:min(len(others), maxReaders+maxSources)]
+}
