--- a/feed/message.go
+++ b/feed/message.go
@@ -6,13 +6,22 @@
 	"dandeliondoor/topo"
 )
 
-// RPC names of the call by which a daemon follows another one. receiverName is
+// RPC names of the calls by which a daemon follows another one and asks a seed for its
+// sources. receiverName is
 // also part of the key that ranks the daemons of a zone.
 const (
 	receiverName = "Feed"
 	followMethod = "Feed.Follow"
+	joinMethod   = "Feed.Join"
 )
 
+// JoinRequest asks for the sources of a daemon.
+type JoinRequest struct{ Daemon topo.Daemon }
+
+// JoinReply contains the sources that the daemon tries, in this order. There are none
+// if the replying daemon does not know the fleet.
+type JoinReply struct{ Sources []topo.Daemon }
+
 // FollowRequest describes the data that the follower already has. Confirmed and the
 // revisions in Servers and Daemons are valid only for the process with that
 // Incarnation; the checksums in ServersSum and DaemonsSum are valid for any process.
@@ -33,7 +42,7 @@
 // and Path lists the daemons that passed the data on, the replying daemon last. Known is set once the replying daemon
 // has a configuration and a list of servers. Unfit is set if the replying daemon
 // is stopping or gets its view from the follower. Without Known, or with Unfit,
-// no data is sent.
+// no data is sent. Snapshot replaces the tables and the configuration if all are sent.
 type FollowReply struct {
 	Incarnation     uint64
 	Age             time.Duration
@@ -48,6 +57,7 @@
 	Daemons         []topo.Change[topo.Daemon]
 	DaemonsComplete bool
 	DaemonsRev      uint64
+	Snapshot        []byte
 }
 
 // ServerChange is a change of a server. ColdLeft is the rest of its warm-up,
--- a/feed/read.go
+++ b/feed/read.go
@@ -61,7 +61,7 @@
 // its zone before it in the order of ranks, up to maxReaders, is usable, and none
 // that may read for the zones before its own.
 func (s *Service) isReader(now time.Time) bool {
-	zones := s.rankZones()
+	zones := newZoneRanking(s.self, s.View().Daemons)
 	return !slices.ContainsFunc(zones.readersBefore(s.self), func(d topo.Daemon) bool { return s.usable(now, d) })
 }
 
--- a/feed/receiver.go
+++ b/feed/receiver.go
@@ -24,7 +24,11 @@
 // the follower has none either.
 func (r *receiver) Follow(request FollowRequest, reply *FollowReply) error {
 	s := r.service
-	timer := time.NewTimer(s.followHold())
+	hold := s.followHold()
+	if !s.View().Ready() {
+		hold = startHold
+	}
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for {
 		changed := s.changeSignal()
@@ -42,6 +46,25 @@
 	}
 }
 
+// Join returns the sources of a daemon. It waits for the list of daemons for a while.
+func (r *receiver) Join(request JoinRequest, reply *JoinReply) error {
+	s := r.service
+	for end := time.Now().Add(joinHold); len(s.View().Daemons) == 0 && time.Now().Before(end); {
+		time.Sleep(idlePause)
+	}
+	if daemons := s.View().Daemons; len(daemons) > 0 && !s.draining.Load() {
+		reply.Sources = newZoneRanking(request.Daemon, daemons).sources(request.Daemon)
+	}
+	return nil
+}
+
+const (
+	// joinHold is how long a seed waits for the list of the daemons before it replies.
+	joinHold = 200 * time.Millisecond
+	// startHold is how long a daemon without a view holds a call of a follower.
+	startHold = 250 * time.Millisecond
+)
+
 // changeSignal returns a channel that is closed at the next change.
 func (s *Service) changeSignal() <-chan struct{} {
 	s.mutex.Lock()
@@ -80,6 +103,7 @@
 	servers, complete := state.servers.Since(request.Servers)
 	reply.Servers, reply.ServersComplete = toWire(now, servers, s.removals.held), complete
 	reply.Daemons, reply.DaemonsComplete = state.daemons.Since(request.Daemons)
+	s.pack(now, reply)
 	return confirmed || reply.Config != nil || complete || len(servers) > 0 ||
 		reply.DaemonsComplete || len(reply.Daemons) > 0 || reply.Age > s.settings.StaleAfter
 }
--- a/feed/service.go
+++ b/feed/service.go
@@ -70,12 +70,13 @@
 	watchers []func(view *View)
 	draining atomic.Bool
 
-	// mutex guards random, state, removals, confirmed, changed and followed. Only run's
-	// goroutine writes followed, and only it uses the fields after followed.
+	// mutex guards random and the fields from state to followed, except watching. Only
+	// run's goroutine writes followed, and only it uses the fields after followed.
 	mutex     sync.Mutex
 	state     *state
 	removals  removalHold
 	confirmed uint64
+	snapshots snapshotCache
 	changed   chan struct{}
 
 	// watching serializes the calls of watchers, each with the latest view.
@@ -84,6 +85,8 @@
 	followed followedSource
 	avoided  map[string]time.Time
 
+	introduced    []topo.Daemon
+	joined        bool
 	patientUntil  time.Time
 	storeDown     bool
 	storeFailedAt time.Time
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -126,6 +126,7 @@
 	accesses []*storeAccess
 	links    []*fakes.Link
 	names    []string
+	seeds    []netip.AddrPort
 
 	interval time.Duration
 	stale    time.Duration
@@ -147,7 +148,8 @@
 // newFleet is like newZoneWithTimes with the daemons in several zones in turn.
 func newFleet(t *testing.T, count int, names []string, interval, stale time.Duration) *zone {
 	t.Helper()
-	z := &zone{names: names,
+	z := &zone{
+		names:   names,
 		configs: newTable[*topo.Config](), servers: newTable[topo.Server](), daemons: newTable[topo.Daemon](),
 		interval: interval, stale: stale,
 	}
@@ -185,7 +187,7 @@
 		Configs: &poller[*topo.Config]{table: z.configs, access: access},
 		Servers: &poller[topo.Server]{table: z.servers, access: access},
 		Daemons: &registry{poller[topo.Daemon]{table: z.daemons, access: access}},
-	}, peers, feed.Settings{Interval: z.interval, StaleAfter: z.stale, Seed: uint64(i)}, logs.Discard().Part(feed.Name))
+	}, peers, feed.Settings{Interval: z.interval, StaleAfter: z.stale, Seeds: z.seeds, Seed: uint64(i)}, logs.Discard().Part(feed.Name))
 	server := wire.NewServer(meter)
 	server.Add(service.Receivers)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -406,7 +408,9 @@
 		fault func(z *zone, reader int)
 	}{
 		{name: "no fault", fault: func(*zone, int) {}},
-		{name: "reader loses its links", fault: func(z *zone, reader int) { z.links[reader].Faults.Set(fakes.LinkFaults{DropForward: true, DropBackward: true}) }},
+		{name: "reader loses its links", fault: func(z *zone, reader int) {
+			z.links[reader].Faults.Set(fakes.LinkFaults{DropForward: true, DropBackward: true})
+		}},
 		{name: "reader loses the store", fault: func(z *zone, reader int) { z.accesses[reader].setCut(true) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -564,6 +568,21 @@
 	}
 }
 
+// TestJoin checks that a daemon that is started again beside running ones gets its
+// view through a seed, and that its only call to the store registers it.
+func TestJoin(t *testing.T) {
+	t.Parallel()
+	z := newFleet(t, 6, []string{"jdid", "medina"}, interval, stale)
+	z.waitForSingleReader(t)
+	z.seeds = []netip.AddrPort{z.feeds[0].Self().Address}
+	z.start(t, 6)
+	z.waitFor(t, 6, "a view", func(view *feed.View) bool { return view.Ready() && len(view.Daemons) == 7 })
+	time.Sleep(10 * interval)
+	if calls := z.calls()[6]; calls > 1 {
+		t.Errorf("the new daemon called the store %d times", calls)
+	}
+}
+
 // TestUnfit checks that a daemon reports itself as unfit to the daemon from
 // which it gets its view, which would be a cycle, and to all daemons while it
 // drains.
--- a/feed/source.go
+++ b/feed/source.go
@@ -1,13 +1,16 @@
 package feed
 
 import (
+	"cmp"
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"dandeliondoor/kernel"
+	"dandeliondoor/rank"
 	"dandeliondoor/topo"
 	"dandeliondoor/wire"
 )
@@ -17,12 +20,18 @@
 	// firstStartWait is the wait before listing the daemons when the whole fleet
 	// starts for the first time. It lets all daemons register themselves.
 	firstStartWait = 600 * time.Millisecond
+	// announceSpread is the mean delay before a daemon registers itself when the whole
+	// fleet starts for the first time, since the store handles one call at a time.
+	announceSpread = 800 * time.Millisecond
+	// announceWait is how long a daemon that was started again waits for the list of
+	// the daemons before it registers itself.
+	announceWait = 2 * time.Second
 	// firstStartPatience is how long the daemons wait for a view from their sources
 	// when the whole fleet starts for the first time, before they read the store.
 	firstStartPatience = 2500 * time.Millisecond
-	// startTimeout is the timeout of calls to sources by a daemon that was started
-	// again and has no view: the store answers sooner than a source that is down.
-	startTimeout = 250 * time.Millisecond
+	// startTimeout is the timeout of calls by a daemon that was started again and has
+	// no view. It includes the transfer of all tables over a slow link.
+	startTimeout = 800 * time.Millisecond
 	// retryPause and maxRetryPause are the first and the longest wait of the
 	// exponential backoff after failed calls, before jitter.
 	retryPause    = 200 * time.Millisecond
@@ -34,9 +43,16 @@
 	// sources, and maxSources the number of all readers that are.
 	maxZoneReaders = 2
 	maxSources     = 6
-	// fanOut is the maximum number of children of a daemon in the tree of
-	// sources.
-	fanOut = 8
+	// fanOutPerCapacity is the number of children of a typical daemon in the tree of
+	// sources. It grows with the capacity, within the given bounds.
+	fanOutPerCapacity = 16
+	minFanOut         = 4
+	maxFanOut         = 40
+	// maxStartSources is the number of sources that a daemon without a view tries
+	// before it reads the store.
+	maxStartSources = 2
+	// maxSeeds is the number of seeds that a daemon asks for its sources.
+	maxSeeds = 2
 	// rankDelay is the additional delay per rank, up to maxDelayedRank, before a
 	// daemon without a fresh source reads the store itself.
 	rankDelay      = 25 * time.Millisecond
@@ -55,17 +71,19 @@
 	unfitDuration = 300 * time.Millisecond
 )
 
-// run lists the daemons, registers this one unless it is listed already, and
+// run finds the first sources, registers this daemon unless it is listed already, and
 // then follows other daemons or reads the store until the context ends.
 func (s *Service) run(ctx context.Context) error {
-	if !s.settings.FirstStart && !s.listDaemons(ctx) {
+	if !s.settings.FirstStart && !s.join(ctx) && !s.listDaemons(ctx) {
 		s.followSeeds(ctx)
 	}
 	announced := kernel.Run(ctx, s.announce)
 	if s.settings.FirstStart {
 		pause(ctx, firstStartWait)
-		s.listDaemons(ctx)
 		s.patientUntil = time.Now().Add(firstStartPatience)
+		if !s.join(ctx) {
+			s.listDaemons(ctx)
+		}
 	}
 	for ctx.Err() == nil {
 		s.step(ctx)
@@ -86,8 +104,16 @@
 }
 
 // announce registers this daemon in the store, with retries until that succeeds
-// or the daemon is listed.
+// or the daemon is listed. A daemon that was started again and has its sources from a
+// seed may be listed already, so it waits for the list.
 func (s *Service) announce(ctx context.Context) error {
+	if s.settings.FirstStart {
+		pause(ctx, s.jitter(announceSpread))
+	} else if s.joined {
+		for end := time.Now().Add(announceWait); len(s.View().Daemons) == 0 && time.Now().Before(end) && ctx.Err() == nil; {
+			pause(ctx, idlePause)
+		}
+	}
 	for wait := retryPause; ctx.Err() == nil; wait = min(2*wait, maxRetryPause) {
 		if s.draining.Load() || slices.Contains(s.View().Daemons, s.self) {
 			return nil
@@ -104,14 +130,17 @@
 
 // step updates the view once from the first usable source, or by reading the store.
 func (s *Service) step(ctx context.Context) {
-	zones := s.rankZones()
-	rank := zones.rank(s.self)
+	zones := newZoneRanking(s.self, s.View().Daemons)
+	own := zones.rank(s.self)
 	sources := zones.sources(s.self)
+	if len(s.View().Daemons) == 0 {
+		sources = s.introduced
+	}
 	if s.storeFailedRecently(time.Now()) {
 		sources = append(sources, zones.others(s.self)...)
 	}
-	for _, daemon := range sources {
-		if now := time.Now(); s.isOverdue(now, rank) && !s.storeFailedRecently(now) && s.View().Ready() {
+	for i, daemon := range sources {
+		if now := time.Now(); s.isOverdue(now, own) && !s.storeFailedRecently(now) && s.View().Ready() {
 			// Trying further sources first could take longer than a draining
 			// server waits for the daemons to stop using it.
 			s.readOnce(ctx)
@@ -119,7 +148,7 @@
 		if s.usable(time.Now(), daemon) && s.follow(ctx, daemon) {
 			return
 		}
-		if now := time.Now(); !s.View().Ready() && !s.isPatient(now) && !s.storeFailedRecently(now) {
+		if now := time.Now(); !s.View().Ready() && i+1 >= maxStartSources && !s.isPatient(now) && !s.storeFailedRecently(now) {
 			break
 		}
 	}
@@ -134,9 +163,9 @@
 		pause(ctx, s.jitter(idlePause))
 	case !s.View().Ready() && len(sources) > 0:
 		s.readOnce(ctx)
-	case rank < maxReaders:
+	case own < maxReaders:
 		s.readStore(ctx)
-	case s.isOverdue(now, rank):
+	case s.isOverdue(now, own):
 		s.readOnce(ctx)
 	default:
 		pause(ctx, s.jitter(retryPause))
@@ -163,6 +192,29 @@
 	return now.Sub(s.View().FreshAt) > s.settings.StaleAfter+rankDelay*time.Duration(min(rank, maxDelayedRank))
 }
 
+// join asks a seed for the sources of this daemon and reports whether it got any. This
+// takes fewer bytes than the list of all daemons, which many daemons would read from
+// the store at the same time after a loss of power. Seeds list the daemons themselves.
+func (s *Service) join(ctx context.Context) bool {
+	if slices.Contains(s.settings.Seeds, s.self.Address) {
+		return false
+	}
+	seeds := slices.Clone(s.settings.Seeds)
+	slices.SortFunc(seeds, func(a, b netip.AddrPort) int {
+		return cmp.Compare(rank.Score(s.self.Name, a.String()), rank.Score(s.self.Name, b.String()))
+	})
+	for _, seed := range seeds[:min(len(seeds), maxSeeds)] {
+		call, cancel := context.WithTimeout(ctx, startTimeout)
+		reply, err := wire.Call[JoinRequest, JoinReply](call, s.peers, seed, joinMethod, JoinRequest{Daemon: s.self})
+		cancel()
+		if err == nil && len(reply.Sources) > 0 {
+			s.introduced, s.joined = reply.Sources, true
+			return true
+		}
+	}
+	return false
+}
+
 // followSeeds follows the first seed that is a good source and reports whether
 // there was one.
 func (s *Service) followSeeds(ctx context.Context) bool {
@@ -224,6 +276,9 @@
 	request := s.followed.position
 	request.Name = s.self.Name
 	reply, err := wire.Call[FollowRequest, FollowReply](call, s.peers, daemon.Address, followMethod, request)
+	if err == nil {
+		err = reply.unpack()
+	}
 	now := time.Now()
 	stale := reply.Age > s.settings.StaleAfter
 	switch {
@@ -235,7 +290,7 @@
 	case stale:
 		err = errStaleSource
 	}
-	applies := reply.Known && !reply.Unfit && (!stale || s.acceptsStale(now))
+	applies := err == nil || (errors.Is(err, errStaleSource) && s.acceptsStale(now))
 	if applies && !s.applyReply(now, reply) {
 		pause(ctx, idlePause)
 	}
--- a/feed/zones.go
+++ b/feed/zones.go
@@ -16,11 +16,11 @@
 	ranked map[string][]topo.Daemon
 }
 
-// rankZones ranks the daemons of the current view, including this one.
-func (s *Service) rankZones() zoneRanking {
-	daemons := map[string][]topo.Daemon{s.self.Zone: {s.self}}
-	for _, daemon := range s.View().Daemons {
-		if daemon.Name != s.self.Name {
+// newZoneRanking ranks the daemons of the fleet, and self if it is not listed yet.
+func newZoneRanking(self topo.Daemon, listed []topo.Daemon) zoneRanking {
+	daemons := map[string][]topo.Daemon{self.Zone: {self}}
+	for _, daemon := range listed {
+		if daemon.Name != self.Name {
 			daemons[daemon.Zone] = append(daemons[daemon.Zone], daemon)
 		}
 	}
@@ -65,7 +65,25 @@
 	if own <= maxReaders {
 		return z.readersBefore(self)
 	}
-	return append([]topo.Daemon{z.ranked[self.Zone][(own-1)/fanOut]}, z.readersOf(self.Zone)...)
+	return append([]topo.Daemon{z.parent(self)}, z.readersOf(self.Zone)...)
+}
+
+// parent returns the parent of a daemon in the tree of its zone, which is not the first
+// one. The daemons have children in the order of ranks.
+func (z zoneRanking) parent(self topo.Daemon) topo.Daemon {
+	ranked := z.ranked[self.Zone]
+	places, own := 0, z.rank(self)
+	for _, daemon := range ranked[:own] {
+		if places += fanOut(daemon); places >= own {
+			return daemon
+		}
+	}
+	return ranked[0]
+}
+
+// fanOut returns the number of children of a daemon.
+func fanOut(daemon topo.Daemon) int {
+	return min(max(int(fanOutPerCapacity*daemon.Capacity), minFanOut), maxFanOut)
 }
 
 // others returns further sources for a daemon that cannot reach the store: the next
