--- a/cmds/main.go
+++ b/cmds/main.go
@@ -82,6 +82,7 @@
 		{name: "publish", short: "Publish a deployment", long: publishHelp, command: &publishCommand{program: p}},
 		{name: "render", short: "Print a deployment as it is published", long: renderHelp, command: &renderCommand{program: p}},
 		{name: "serve", short: "Run a daemon", long: serveHelp, command: &serveCommand{program: p}},
+		{name: "simulate", short: "Simulate server selection under a load", long: simulateHelp, command: &simulateCommand{program: p}},
 		{name: "state", short: "Print the state of a daemon", long: stateHelp, command: &stateCommand{program: p}},
 		{name: "status", short: "Show what is in force on daemons", long: statusHelp, command: &statusCommand{program: p}},
 		{name: "version", short: "Print the version", long: versionHelp, command: &versionCommand{program: p}},
