--- a/fakes/server.go
+++ b/fakes/server.go
@@ -25,19 +25,22 @@
 // without a response, Short closes it in the middle of the body, Fail responds with
 // 500, Mute responds with 503 but without the header that says that the request did
 // not run, Unsigned omits the signature, and Foreign first sends the response to
-// another request. Work is how long a request runs, and Size is the minimum length
+// another request. EndlessHead sends header lines and EndlessBody a body without end,
+// until the connection is closed. Work is how long a request runs, and Size is the minimum length
 // of the response body in bytes.
 type ServerFaults struct {
-	Cut      bool
-	Fail     bool
-	Foreign  bool
-	Moved    bool
-	Mute     bool
-	Shed     bool
-	Short    bool
-	Unsigned bool
-	Size     int
-	Work     time.Duration
+	Cut         bool
+	EndlessBody bool
+	EndlessHead bool
+	Fail        bool
+	Foreign     bool
+	Moved       bool
+	Mute        bool
+	Shed        bool
+	Short       bool
+	Unsigned    bool
+	Size        int
+	Work        time.Duration
 }
 
 // Server simulates a server of the platform: it registers itself in the store, runs
@@ -147,6 +150,10 @@
 	switch {
 	case faults.Cut:
 		panic(http.ErrAbortHandler)
+	case faults.EndlessBody:
+		s.respondEndless(w, id, "\r\n", "endless")
+	case faults.EndlessHead:
+		s.respondEndless(w, id, "", "X-Line: endless\r\n")
 	case faults.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case faults.Foreign:
@@ -162,6 +169,22 @@
 	}
 }
 
+// respondEndless sends the head of a response with a tail, and then repeats a text until
+// the connection is closed. The body ends with the connection.
+func (s *Server) respondEndless(w http.ResponseWriter, id, tail, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+proto.HeaderRequestID+": "+id+"\r\n"+
+		platform.HeaderSignature+": signed-"+id+"\r\n"+tail)
+	const repeats = 1024
+	for block := strings.Repeat(text, repeats); err == nil; {
+		_, err = io.WriteString(conn, block)
+	}
+}
+
 // respondTwice sends the response to another request before the correct one.
 func (s *Server) respondTwice(w http.ResponseWriter, id string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -192,6 +193,7 @@
 		{name: "request body too large", method: http.MethodPost, path: "/bales/1", body: strings.Repeat("x", 2000), wantStatus: http.StatusRequestEntityTooLarge},
 		{name: "connection closed", faults: fakes.ServerFaults{Cut: true}, method: http.MethodPost, path: "/bales/1", wantStatus: http.StatusBadGateway, wantRuns: 1},
 		{name: "connection closed, idempotent", faults: fakes.ServerFaults{Cut: true}, method: http.MethodGet, path: "/lots/1", wantStatus: http.StatusBadGateway, wantRuns: 3},
+		{name: "endless header", faults: fakes.ServerFaults{EndlessHead: true}, method: http.MethodPost, path: "/bales/1", wantStatus: http.StatusBadGateway, wantRuns: 1},
 		{name: "server error", faults: fakes.ServerFaults{Fail: true}, method: http.MethodPost, path: "/bales/1", wantStatus: http.StatusInternalServerError, wantRuns: 1},
 		{name: "truncated response", faults: fakes.ServerFaults{Short: true}, method: http.MethodPost, path: "/bales/1", wantStatus: http.StatusBadGateway, wantRuns: 1},
 		{name: "request head too large", method: http.MethodPost, path: "/bales/" + strings.Repeat("x", 17000), wantStatus: http.StatusRequestHeaderFieldsTooLarge},
@@ -234,6 +236,49 @@
 	}
 }
 
+// TestFrontEndlessBody makes a server send a body without end. The daemon must cut the
+// caller's connection at the route's timeout and must not keep the body in memory.
+func TestFrontEndlessBody(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 1, 1)
+	f.setServerFaults(fakes.ServerFaults{EndlessBody: true})
+	before := f.residentKB(f.fronts[0])
+	start := time.Now()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.fronts[0].callers.String()+"/brief/1", nil)
+	must(t, err)
+	request.Host = "souk.example"
+	request.Header.Set(proto.HeaderRequestID, "r-1")
+	request.Header.Set(proto.HeaderDeadline, "2500")
+	response, err := http.DefaultClient.Do(request)
+	must(t, err)
+	defer response.Body.Close()
+	count, err := io.Copy(io.Discard, response.Body)
+	if err == nil {
+		t.Errorf("%d bytes of an endless body look complete", count)
+	}
+	const limitKB = 64 << 10
+	if grown := f.residentKB(f.fronts[0]) - before; grown > limitKB {
+		t.Errorf("the daemon grew by %d KB while it passed on %d bytes", grown, count)
+	}
+	t.Logf("%d bytes in %s", count, time.Since(start))
+}
+
+// residentKB returns the resident memory of a process in KB.
+func (f *frontFleet) residentKB(p *frontProcess) int {
+	f.t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	must(f.t, err)
+	for line := range strings.Lines(string(data)) {
+		if value, found := strings.CutPrefix(line, "VmRSS:"); found {
+			size, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
+			must(f.t, err)
+			return size
+		}
+	}
+	f.t.Fatal("no resident size")
+	return 0
+}
+
 // TestFrontTruncatedUndelimited is the same for a caller of HTTP/1.0, whose response
 // ends with the connection. The connection must be reset.
 func TestFrontTruncatedUndelimited(t *testing.T) {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -166,6 +166,23 @@
 	}[random.IntN(10)]
 }
 
+// endlessStream is the second seed of the source for randomEndless, which is apart
+// from the others so that the faults of older seeds stay the same.
+const endlessStream = 1
+
+// randomEndless returns, for one in four rounds, a server that sends bytes without end.
+func randomEndless(random *rand.Rand, servers int) []event {
+	const roundsPerFault = 4
+	if random.IntN(roundsPerFault) > 0 {
+		return nil
+	}
+	faults := []fakes.ServerFaults{{EndlessBody: true}, {EndlessHead: true}}[random.IntN(2)]
+	return []event{{
+		fault: SickServer{Server: random.IntN(servers), Faults: faults},
+		delay: time.Duration(random.Int64N(int64(maxDelay))),
+	}}
+}
+
 func randomLinkFaults(random *rand.Rand) fakes.LinkFaults {
 	return []fakes.LinkFaults{
 		{DropForward: true, DropBackward: true},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,9 +69,13 @@
 
 func (f *fleet) runRounds(ctx context.Context, r *recorder) error {
 	random := rand.New(rand.NewPCG(f.options.Seed, f.options.Seed))
+	endless := rand.New(rand.NewPCG(f.options.Seed, endlessStream))
 	f.waitForRecovery(ctx, r, "start")
 	for round := range f.options.Rounds {
 		events, planned := randomRound(random, len(f.daemons), len(f.servers))
+		if !planned {
+			events = append(events, randomEndless(endless, len(f.servers))...)
+		}
 		name := fmt.Sprintf("seed %d, round %d, %s", f.options.Seed, round, describe(events))
 		if err := f.runRound(ctx, r, events, planned, name); err != nil {
 			return errors.Wrap(err, name)
