--- /dev/null
+++ b/feed/start.go
@@ -0,0 +1,124 @@
+package feed
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"dandeliondoor/kernel"
+	"dandeliondoor/rank"
+	"dandeliondoor/topo"
+	"dandeliondoor/wire"
+)
+
+// Waits and limits at the start of a daemon.
+const (
+	// firstStartWait is the wait before listing the daemons when the whole fleet
+	// starts for the first time. It lets all daemons register themselves.
+	firstStartWait = 600 * time.Millisecond
+	// announceSpread is the mean delay before a daemon registers itself when the whole
+	// fleet starts for the first time, since the store handles one call at a time.
+	announceSpread = 800 * time.Millisecond
+	// announceWait is how long a daemon that was started again waits for the list of
+	// the daemons before it registers itself.
+	announceWait = 2 * time.Second
+	// firstStartPatience is how long the daemons wait for a view from their sources
+	// when the whole fleet starts for the first time, before they read the store.
+	firstStartPatience = 2500 * time.Millisecond
+	// maxSeeds is the number of seeds that a daemon asks for its sources.
+	maxSeeds = 2
+)
+
+// run finds the first sources, registers this daemon unless it is listed already, and
+// then follows other daemons or reads the store until the context ends.
+func (s *Service) run(ctx context.Context) error {
+	if !s.settings.FirstStart && !s.join(ctx) && !s.listDaemons(ctx) {
+		s.followSeeds(ctx)
+	}
+	announced := kernel.Run(ctx, s.announce)
+	if s.settings.FirstStart {
+		pause(ctx, firstStartWait)
+		s.patientUntil = time.Now().Add(firstStartPatience)
+		if !s.join(ctx) {
+			s.listDaemons(ctx)
+		}
+	}
+	for ctx.Err() == nil {
+		s.step(ctx)
+	}
+	return <-announced
+}
+
+// listDaemons reads the list of daemons once and reports whether the store
+// responded. If it didn't, the list comes from a later read or a source.
+func (s *Service) listDaemons(ctx context.Context) bool {
+	changes, complete, err := s.sources.Daemons.Poll(ctx, 0)
+	if err != nil {
+		s.recordStoreFailure(time.Now(), err)
+		return false
+	}
+	s.updateDaemons(changes, complete)
+	return true
+}
+
+// announce registers this daemon in the store, with retries until that succeeds
+// or the daemon is listed. A daemon that was started again and has its sources from a
+// seed may be listed already, so it waits for the list.
+func (s *Service) announce(ctx context.Context) error {
+	if s.settings.FirstStart {
+		pause(ctx, s.jitter(announceSpread))
+	} else if s.joined {
+		for end := time.Now().Add(announceWait); len(s.View().Daemons) == 0 && time.Now().Before(end) && ctx.Err() == nil; {
+			pause(ctx, idlePause)
+		}
+	}
+	for wait := retryPause; ctx.Err() == nil; wait = min(2*wait, maxRetryPause) {
+		if s.draining.Load() || slices.Contains(s.View().Daemons, s.self) {
+			return nil
+		}
+		err := s.sources.Daemons.Announce(ctx, s.self)
+		if err == nil {
+			return nil
+		}
+		s.log.WithError(err).Warn("registering this daemon failed; retrying")
+		pause(ctx, s.jitter(wait))
+	}
+	return nil
+}
+
+// join asks a seed for the sources of this daemon and reports whether it got any. This
+// takes fewer bytes than the list of all daemons, which many daemons would read from
+// the store at the same time after a loss of power. Seeds list the daemons themselves.
+func (s *Service) join(ctx context.Context) bool {
+	if slices.Contains(s.settings.Seeds, s.self.Address) {
+		return false
+	}
+	seeds := slices.Clone(s.settings.Seeds)
+	slices.SortFunc(seeds, func(a, b netip.AddrPort) int {
+		return cmp.Compare(rank.Score(s.self.Name, a.String()), rank.Score(s.self.Name, b.String()))
+	})
+	for _, seed := range seeds[:min(len(seeds), maxSeeds)] {
+		call, cancel := context.WithTimeout(ctx, startTimeout)
+		reply, err := wire.Call[JoinRequest, JoinReply](call, s.peers, seed, joinMethod, JoinRequest{Daemon: s.self})
+		cancel()
+		if err == nil && len(reply.Sources) > 0 {
+			s.introduced, s.joined = reply.Sources, true
+			return true
+		}
+	}
+	return false
+}
+
+// followSeeds follows the first seed that is a good source and reports whether
+// there was one.
+func (s *Service) followSeeds(ctx context.Context) bool {
+	for _, seed := range s.settings.Seeds {
+		daemon := topo.Daemon{Name: seed.String(), Zone: s.self.Zone, Address: seed}
+		if seed != s.self.Address && s.usable(time.Now(), daemon) && s.follow(ctx, daemon) {
+			return true
+		}
+	}
+	return false
+}
--- a/simul/run.go
+++ b/simul/run.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// route names the single route of the simulation.
+	// routePrefix precedes the name of a class in the name of its route.
 	routePrefix = "route-"
 	// waitDivisor and minWait bound the wait for a server, as the daemons do.
 	waitDivisor = 8
