--- a/slots/broker_test.go
+++ b/slots/broker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,3 +61,61 @@
 		}})
 	}
 }
+
+// TestPartChange lets a service grow past the size at which it is divided into parts,
+// after one of its servers has failed. The daemons must not forget what they know: with
+// two servers to choose from, requests still have to go to the other one.
+func TestPartChange(t *testing.T) {
+	t.Parallel()
+	const before, after = 195, 205
+	var servers []topo.Server
+	for i := range after {
+		servers = append(servers, newServer(fmt.Sprintf("i-%d", i)))
+	}
+	key := slots.PoolKey{Service: service, Parts: slots.PartCount(after)}
+	members := newView(nil, servers...)
+	broker := slots.NewBroker(choose.RetryLimits{Window: time.Second}, 1)
+	broker.SetView(time.Now(), members)
+	added := others(servers[before:])
+	part := slices.DeleteFunc(fill(broker, key), func(id string) bool { return slices.Contains(added, id) })
+	failing, healthy := part[0], part[1]
+	now := time.Now()
+	broker.SetView(now, newView(nil, servers[:before]...))
+	old := slots.PoolKey{Service: service, Parts: slots.PartCount(before)}
+	for range 3 {
+		runOn(t, broker, old, now, others(servers, failing), choose.Failed)
+		runOn(t, broker, old, now, others(servers, healthy), choose.Served)
+	}
+	broker.SetView(now, members)
+	for range 20 {
+		if got := runOn(t, broker, key, now, others(servers, failing, healthy), choose.Cancelled); got == failing {
+			t.Fatalf("a request goes to %s, which failed just before the service was divided", got)
+		}
+	}
+}
+
+// runOn asks a broker with the given servers excluded, releases the attempt with an
+// outcome and returns its server.
+func runOn(t *testing.T, broker *slots.Broker, key slots.PoolKey, now time.Time, exclude []string, outcome choose.Outcome) string {
+	t.Helper()
+	ask := choose.Ask{Daemon: "front-0", Ticket: 1, Objective: time.Second, Left: time.Second, Exclude: exclude}
+	granted, isGranted := broker.Ask(now, slots.AskRequest{Pool: key, Ask: ask}).(choose.Granted)
+	if !isGranted {
+		t.Fatal("no server was granted")
+	}
+	broker.Release(now, slots.ReleaseRequest{Pool: key, Release: choose.Release{
+		Daemon: "front-0", Ticket: 1, Server: granted.Server, Outcome: outcome, Running: -1,
+	}})
+	return granted.Server
+}
+
+// others returns the IDs of all servers but the given ones.
+func others(servers []topo.Server, kept ...string) []string {
+	var ids []string
+	for _, server := range servers {
+		if !slices.Contains(kept, server.ID) {
+			ids = append(ids, server.ID)
+		}
+	}
+	return ids
+}
