--- a/simul/load.go
+++ b/simul/load.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dandeliondoor/choose"
+	"dandeliondoor/config"
 )
 
 // Load describes the simulated service and its traffic. Servers is the number of
@@ -11,17 +11,17 @@
 // that ask one broker. Length is the simulated time. Stop is when all daemons lose
 // power, 0 for never.
 type Load struct {
-	Seed    uint64        `yaml:"seed"`
-	Servers int           `yaml:"servers"`
-	Slots   int           `yaml:"slots"`
-	Daemons int           `yaml:"daemons"`
-	Zones   int           `yaml:"zones"`
-	Length  time.Duration `yaml:"length"`
-	Stop    time.Duration `yaml:"stop"`
-	Health  Health        `yaml:"health"`
-	Retries Retries       `yaml:"retries"`
-	Classes []Class       `yaml:"classes"`
-	Bursts  []Burst       `yaml:"bursts"`
+	Seed    uint64         `yaml:"seed"`
+	Servers int            `yaml:"servers"`
+	Slots   int            `yaml:"slots"`
+	Daemons int            `yaml:"daemons"`
+	Zones   int            `yaml:"zones"`
+	Length  time.Duration  `yaml:"length"`
+	Stop    time.Duration  `yaml:"stop"`
+	Health  Health         `yaml:"health"`
+	Retries config.Retries `yaml:"retries"`
+	Classes []Class        `yaml:"classes"`
+	Bursts  []Burst        `yaml:"bursts"`
 }
 
 // Health describes the servers' unhealthy periods. UnhealthyShare is the share of
@@ -34,17 +34,6 @@
 	UnhealthyFailures float64       `yaml:"unhealthy_failures"`
 }
 
-// Retries are the limits of the service's retries, as in the daemons' settings.
-type Retries struct {
-	Ratio  float64       `yaml:"ratio"`
-	Window time.Duration `yaml:"window"`
-	Slack  float64       `yaml:"slack"`
-}
-
-func (r Retries) limits() choose.RetryLimits {
-	return choose.RetryLimits{Ratio: r.Ratio, Window: r.Window, Slack: r.Slack}
-}
-
 // Class is one kind of request. Rate is in requests per second, Work the mean
 // duration on a typical server, Objective the duration within which a response
 // earns full credit, and Deadline how long callers wait. Attempts bounds the
@@ -100,6 +89,6 @@
 	return Load{
 		Servers: servers, Slots: slots, Daemons: daemons, Zones: zones, Length: length,
 		Health:  Health{UnhealthyShare: 0.3, Period: period, HealthyFailures: 0.015, UnhealthyFailures: 0.85},
-		Retries: Retries{Ratio: ratio, Window: window, Slack: slack},
+		Retries: config.Retries{Ratio: ratio, Window: window, Slack: slack},
 	}
 }
--- a/simul/run.go
+++ b/simul/run.go
@@ -74,7 +74,8 @@
 		open:    make(map[*request]struct{}),
 		report:  newReport(&load),
 	}
-	s.pool = choose.NewPool(start, load.Seed, load.Retries.limits())
+	limits := choose.RetryLimits{Ratio: load.Retries.Ratio, Window: load.Retries.Window, Slack: load.Retries.Slack}
+	s.pool = choose.NewPool(start, load.Seed, limits)
 	s.addServers()
 	s.addArrivals()
 	for {
