choose, slots, front: log each change of the number of servers a request crashed

Brokers now log 'crash count changed', and the lines on failed attempts and refused requests have the fingerprint. No decision changes.

--- a/choose/crash_tracker.go
+++ b/choose/crash_tracker.go
@@ -34,24 +34,38 @@
 }
 
 // record updates the tracker with the outcome of an attempt.
-func (c *crashTracker) record(now time.Time, fingerprint crash.Fingerprint, outcome Outcome) {
+func (c *crashTracker) record(now time.Time, fingerprint crash.Fingerprint, outcome Outcome) crash.Observation {
+	observed := crash.Observation{Fingerprint: fingerprint}
 	switch {
 	case fingerprint == 0:
+		if outcome == ConnectionLost {
+			observed.Change = crash.ChangeMissed
+		}
 	case outcome == Served || outcome == Failed:
+		if _, known := c.lost[fingerprint]; known {
+			observed.Change = crash.ChangeCleared
+		}
 		delete(c.lost, fingerprint)
 	case outcome == ConnectionLost:
-		c.recordLoss(now, fingerprint)
+		observed.Change, observed.Count = c.recordLoss(now, fingerprint)
 	}
+	return observed
 }
 
-// recordLoss counts a loss. A full table is cleared, which bounds its memory.
-func (c *crashTracker) recordLoss(now time.Time, fingerprint crash.Fingerprint) {
+// recordLoss counts a loss and returns the change with the count. A full table is
+// cleared, which bounds its memory.
+func (c *crashTracker) recordLoss(now time.Time, fingerprint crash.Fingerprint) (crash.Change, int) {
+	change := crash.ChangeCounted
 	if c.lost == nil || len(c.lost) >= maxFingerprints {
+		if c.lost != nil {
+			change = crash.ChangeEvicted
+		}
 		c.lost = make(map[crash.Fingerprint]losses)
 	}
-	found := c.lost[fingerprint]
-	if !now.Before(found.until) {
-		found.count = 0
+	found, known := c.lost[fingerprint]
+	if known && !now.Before(found.until) {
+		change, found.count = crash.ChangeExpired, 0
 	}
 	c.lost[fingerprint] = losses{count: found.count + 1, until: now.Add(lossRetention)}
+	return change, found.count + 1
 }
--- a/choose/pool.go
+++ b/choose/pool.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/topo"
 )
 
@@ -303,16 +304,20 @@
 	return Refused{Reason: ReasonOverload, RetryAfter: lowest}
 }
 
-// Release ends an attempt and updates the pool with its outcome.
-func (p *Pool) Release(now time.Time, release Release) {
+// Release ends an attempt and updates the pool with its outcome. It returns what
+// happened to the count of crashes of the request.
+func (p *Pool) Release(now time.Time, release Release) crash.Observation {
 	s, known := p.servers[release.Server]
 	if !known {
-		return
+		if release.Outcome == ConnectionLost {
+			return crash.Observation{Change: crash.ChangeMissed}
+		}
+		return crash.Observation{}
 	}
 	ended, found := s.removeAttempt(release.Daemon, release.Ticket)
 	s.updateLoad(now, release.Running, release.Waiting)
 	p.recordOutcome(now, s, release, ended.route, found)
-	p.crashes.record(now, ended.fingerprint, release.Outcome)
+	return p.crashes.record(now, ended.fingerprint, release.Outcome)
 }
 
 func (p *Pool) recordOutcome(now time.Time, s *server, release Release, route string, found bool) {
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -1,6 +1,9 @@
 package crash
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // The limits on the number and the lifetime of entries.
 const (
@@ -13,6 +16,9 @@
 // the request has none.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal digits, as in log lines.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Standing is the degree of suspicion against a fingerprint, in ascending order.
 type Standing uint8
 
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -177,7 +177,8 @@
 	h.metrics.attempts.WithLabelValues(outcomeNames[res.outcome]).Inc()
 	entry := h.log.WithField("request_id", e.id).WithField("server", res.lease.Server.ID).
 		WithField("outcome", outcomeNames[res.outcome]).WithField("ms", res.duration.Milliseconds()).
-		WithField("sends", e.history.sends).WithField("alone", res.lease.Fallback)
+		WithField("sends", e.history.sends).WithField("alone", res.lease.Fallback).
+		WithField("fingerprint", e.fingerprint.String())
 	if res.response != nil {
 		entry = entry.WithField("status", res.response.status)
 	}
--- a/front/handler.go
+++ b/front/handler.go
@@ -255,7 +255,7 @@
 		h.metrics.durations.Observe(time.Since(e.arrived).Seconds())
 	}
 	h.logEntry(e).WithField("status", local.status).WithField("reason", local.reason).
-		WithField("refused", e.lastRefusal.Reason).Info("request answered without a server")
+		WithField("refused", e.lastRefusal.Reason).WithField("fingerprint", e.fingerprint.String()).Info("request answered without a server")
 	if err := local.write(w, e.id); err != nil {
 		h.log.WithField("request_id", e.id).WithError(err).Debug("writing the response to the caller failed")
 	}
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -4,8 +4,12 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"dandeliondoor/choose"
+	"dandeliondoor/crash"
 	"dandeliondoor/feed"
+	"dandeliondoor/logs"
 	"dandeliondoor/rank"
 )
 
@@ -14,23 +18,36 @@
 	limits   choose.RetryLimits
 	seed     uint64
 	fallback bool
+	log      *logrus.Entry
 
 	mutex sync.Mutex
 	view  *feed.View
 	pools map[PoolKey]*choose.Pool
 }
 
+// BrokerOption configures a Broker.
+type BrokerOption func(*Broker)
+
+// WithLog makes the broker log the requests whose servers ended.
+func WithLog(log *logrus.Entry) BrokerOption { return func(b *Broker) { b.log = log } }
+
 // NewBroker returns a broker without pools; limits bound the retries of each
 // service.
-func NewBroker(limits choose.RetryLimits, seed uint64) *Broker {
-	return &Broker{limits: limits, seed: seed, view: &feed.View{}, pools: make(map[PoolKey]*choose.Pool)}
+func NewBroker(limits choose.RetryLimits, seed uint64, options ...BrokerOption) *Broker {
+	b := &Broker{
+		limits: limits, seed: seed, log: logs.Discard().Part(Name), view: &feed.View{}, pools: make(map[PoolKey]*choose.Pool),
+	}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // NewFallback returns a broker for a daemon that reaches no other broker. Its retry
 // slack is divided by the number of daemons, since all of them may be in this state
 // at once.
-func NewFallback(limits choose.RetryLimits, seed uint64) *Broker {
-	b := NewBroker(limits, seed)
+func NewFallback(limits choose.RetryLimits, seed uint64, options ...BrokerOption) *Broker {
+	b := NewBroker(limits, seed, options...)
 	b.fallback = true
 	return b
 }
@@ -86,9 +103,25 @@
 func (b *Broker) Release(now time.Time, request ReleaseRequest) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if pool, known := b.pools[request.Pool]; known {
-		pool.Release(now, request.Release)
+	pool, known := b.pools[request.Pool]
+	if !known {
+		if request.Release.Outcome == choose.ConnectionLost {
+			b.logCrash(request, crash.Observation{Change: crash.ChangeMissed})
+		}
+		return
+	}
+	b.logCrash(request, pool.Release(now, request.Release))
+}
+
+// logCrash logs a change of the number of servers that a request crashed.
+func (b *Broker) logCrash(request ReleaseRequest, observed crash.Observation) {
+	if observed.Change == crash.ChangeNone {
+		return
 	}
+	b.log.WithField("fingerprint", observed.Fingerprint.String()).WithField("change", observed.Change).
+		WithField("count", observed.Count).WithField("service", request.Pool.Service).WithField("pool_part", request.Pool.Part).
+		WithField("server", request.Release.Server).WithField("daemon", request.Release.Daemon).
+		WithField("fallback", b.fallback).Info("crash count changed")
 }
 
 func (b *Broker) newPool(now time.Time, key PoolKey) *choose.Pool {
