feed: a daemon that follows a fleet without servers becomes ready

Callers would have got 503 from a daemon that was started while no server was listed, until one was. Cause: the list of servers counts as known once a complete one came, but none is sent if the checksums match, as they do for two empty tables. A reply that is applied confirms the table, so the list now counts as known then.

--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -648,3 +648,18 @@
 		t.Error(err)
 	}
 }
+
+// TestNoServers guards against a new daemon that never becomes ready because the fleet
+// has no servers: the empty list that its source confirms must count as known.
+func TestNoServers(t *testing.T) {
+	t.Parallel()
+	z := newZone(t, 3)
+	for _, id := range []string{"i-1", "i-2"} {
+		z.servers.remove(id)
+	}
+	for i := range z.feeds {
+		z.waitFor(t, i, "removal of all servers", func(view *feed.View) bool { return len(view.Servers) == 0 })
+	}
+	z.start(t, len(z.feeds))
+	z.waitFor(t, len(z.feeds)-1, "ready without servers", (*feed.View).Ready)
+}
--- a/feed/source.go
+++ b/feed/source.go
@@ -237,6 +237,9 @@
 		}
 		changed = state.applyServers(fromWire(now, reply.Servers, state.servers, &s.removals), reply.ServersComplete) || changed
 		changed = state.applyDaemons(reply.Daemons, reply.DaemonsComplete) || changed
+		// No list is sent if the checksums match, as they do for two empty tables.
+		changed = changed || !state.serversKnown
+		state.serversKnown = true
 		state.freshAt, state.path = confirmedAt, reply.Path
 		return changed
 	})
