--- a/fakes/server.go
+++ b/fakes/server.go
@@ -52,6 +52,7 @@
 	service string
 	zone    string
 	address netip.AddrPort
+	born    int64
 
 	mutex    sync.Mutex
 	sequence int64
@@ -70,7 +71,9 @@
 // NewServer returns a server with the given address. The caller listens on the address
 // and serves it.
 func NewServer(id, service, zone string, address netip.AddrPort) *Server {
-	return &Server{id: id, service: service, zone: zone, address: address, runs: make(map[string]int), posts: make(map[string]int)}
+	return &Server{
+		id: id, service: service, zone: zone, address: address, born: 1, runs: make(map[string]int), posts: make(map[string]int),
+	}
 }
 
 // serverSlots is the number of concurrent requests that a server reports as its limit.
@@ -83,7 +86,7 @@
 	sequence := s.sequence
 	s.mutex.Unlock()
 	data, err := platform.EncodeServer(topo.Server{
-		Service: s.service, Address: s.address, Zone: s.zone, Slots: serverSlots, Draining: draining, Born: 1,
+		Service: s.service, Address: s.address, Zone: s.zone, Slots: serverSlots, Draining: draining, Born: s.born,
 	}, sequence)
 	if err != nil {
 		return err
--- /dev/null
+++ b/procs/crash_test.go
@@ -0,0 +1,104 @@
+package procs_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"dandeliondoor/fakes"
+)
+
+// The platform's limit: later than contactTime after a request has crashed the third
+// server, it may reach servers in at most three retries.
+const (
+	contactTime    = 3 * time.Second
+	crashesAllowed = 3
+	retriesAllowed = 3
+)
+
+// addCrashHosts adds hosts that crash on requests for fakes.CrashPath; every third one
+// responds to all requests with 500.
+func (f *frontFleet) addCrashHosts(count int) []*fakes.CrashHost {
+	f.t.Helper()
+	var hosts []*fakes.CrashHost
+	for i := range count {
+		host := fakes.NewCrashHost(f.store, fmt.Sprintf("c-%d", i), "souk", zones[i%2], freeAddress(f.t), 700*time.Millisecond)
+		host.SetFaults(fakes.ServerFaults{Fail: i%3 == 0})
+		must(f.t, host.Start())
+		f.t.Cleanup(host.Stop)
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// checkCrashes fails if a request reached servers too often after it crashed the third
+// one.
+func checkCrashes(t *testing.T, hosts []*fakes.CrashHost) {
+	t.Helper()
+	var crashes, arrivals []time.Time
+	for _, host := range hosts {
+		crashes = append(crashes, host.Crashes()...)
+		for _, arrival := range host.Arrivals() {
+			arrivals = append(arrivals, arrival.At)
+		}
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	t.Logf("%d servers crashed, %d requests reached a server", len(crashes), len(arrivals))
+	if len(crashes) < crashesAllowed {
+		t.Fatal("too few crashes for a verdict")
+	}
+	late := 0
+	for _, at := range arrivals {
+		if at.After(crashes[crashesAllowed-1].Add(contactTime)) {
+			late++
+		}
+	}
+	if late > retriesAllowed {
+		t.Errorf("the request reached servers %d times later than %s after its third crash, want at most %d", late, contactTime, retriesAllowed)
+	}
+}
+
+// TestFrontCrashingRequest guards against a request that goes on to crash servers after
+// it has crashed three (the incident BUDGET). It comes again at different daemons,
+// meets servers that respond with 500, and the daemons are killed and restarted in turn.
+func TestFrontCrashingRequest(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		kill bool
+	}{
+		{name: "daemons are killed", kill: true},
+		{name: "daemons run"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFrontFleet(t, 4, 0)
+			hosts := f.addCrashHosts(12)
+			f.eventually("a request to be served", func() bool {
+				_, status, _, err := f.send(f.fronts[0], http.MethodGet, "/lots/1", "")
+				return err == nil && status == http.StatusOK
+			})
+			end := time.Now().Add(contactTime + 7*time.Second)
+			for i := 0; time.Now().Before(end); i++ {
+				f.send(f.fronts[i%len(f.fronts)], http.MethodGet, "/lots"+fakes.CrashPath, "")
+				time.Sleep(150 * time.Millisecond)
+				if test.kill && i%10 == 5 {
+					f.restartFront(f.fronts[i/10%len(f.fronts)])
+				}
+			}
+			checkCrashes(t, hosts)
+		})
+	}
+}
+
+// restartFront kills a daemon and starts it again.
+func (f *frontFleet) restartFront(p *frontProcess) {
+	f.t.Helper()
+	p.signal(f.t, syscall.SIGKILL)
+	p.waitExit(f.t)
+	p.process = f.start(p.name, "front", "--settings", p.settingsFile)
+	f.waitFrontReady(p)
+}
