--- a/choose/message.go
+++ b/choose/message.go
@@ -91,14 +91,34 @@
 	Cancelled
 )
 
+// Loss is how the response of an attempt failed to arrive, for the search for requests
+// that crash servers.
+type Loss uint8
+
+// The losses of an attempt.
+const (
+	// LossNone is a response, or a request that was not sent.
+	LossNone Loss = iota
+	// LossEnded is a connection that the server ended before its complete response.
+	LossEnded
+	// LossSilent is a request that may have run and got no complete response until
+	// the attempt was given up.
+	LossSilent
+)
+
 // Release reports the end of an attempt. Running and Waiting are the server's own
-// counts of requests; Running is negative if it sent none.
+// counts of requests; Running is negative if it sent none. Born and Content are those of
+// the lease. ConnAge is the time since the connection was opened, 0 if there was none.
 type Release struct {
 	Daemon   string
 	Ticket   uint64
 	Server   string
+	Born     int64
+	Content  crash.Fingerprint
 	Outcome  Outcome
+	Loss     Loss
 	Duration time.Duration
+	ConnAge  time.Duration
 	Running  int
 	Waiting  int
 }
--- a/choose/pool.go
+++ b/choose/pool.go
@@ -58,7 +58,6 @@
 	budget         *RetryBudget
 	random         *rand.Rand
 	asks           askCount
-	crashes        crashTracker
 }
 
 // NewPool returns a pool without servers; seed makes its random choices
@@ -102,9 +101,6 @@
 
 // Choose selects the server for an attempt.
 func (p *Pool) Choose(now time.Time, ask Ask) Decision {
-	if p.crashes.blocked(now, ask.Content) {
-		return Refused{Reason: ReasonCrashes}
-	}
 	p.asks.record(now)
 	if ask.Repeat && !p.budget.TryTake(now) {
 		return Refused{Reason: ReasonBudget}
@@ -304,20 +300,29 @@
 	return Refused{Reason: ReasonOverload, RetryAfter: lowest}
 }
 
-// Release ends an attempt and updates the pool with its outcome. It returns what
-// happened to the count of crashes of the request.
-func (p *Pool) Release(now time.Time, release Release) crash.Observation {
+// InFlight returns the number of attempts of requests with a fingerprint that have not
+// been released.
+func (p *Pool) InFlight(now time.Time, fingerprint crash.Fingerprint) int {
+	count := 0
+	for _, s := range p.sorted {
+		for _, a := range s.attempts {
+			if a.fingerprint == fingerprint && now.Before(a.expiresAt) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Release ends an attempt and updates the pool with its outcome.
+func (p *Pool) Release(now time.Time, release Release) {
 	s, known := p.servers[release.Server]
 	if !known {
-		if release.Outcome == ConnectionLost {
-			return crash.Observation{Change: crash.ChangeMissed}
-		}
-		return crash.Observation{}
+		return
 	}
 	ended, found := s.removeAttempt(release.Daemon, release.Ticket)
 	s.updateLoad(now, release.Running, release.Waiting)
 	p.recordOutcome(now, s, release, ended.route, found)
-	return p.crashes.record(now, ended.fingerprint, release.Outcome)
 }
 
 func (p *Pool) recordOutcome(now time.Time, s *server, release Release, route string, found bool) {
--- a/choose/pool_test.go
+++ b/choose/pool_test.go
@@ -337,33 +337,6 @@
 	}
 }
 
-// TestCrashingContent checks that a fingerprint is refused after its third lost
-// connection in a row, and that other fingerprints are not.
-func TestCrashingContent(t *testing.T) {
-	t.Parallel()
-	f := newFixture(8)
-	const crashing, harmless = 7, 8
-	sent := 0
-	for range 10 {
-		decision := f.ask(func(ask *choose.Ask) { ask.Content = crashing })
-		granted, isGranted := decision.(choose.Granted)
-		if !isGranted {
-			break
-		}
-		sent++
-		f.now = f.now.Add(10 * time.Millisecond)
-		f.pool.Release(f.now, choose.Release{
-			Daemon: "front-1", Ticket: f.ticket, Server: granted.Server, Outcome: choose.ConnectionLost, Running: -1,
-		})
-	}
-	if sent != 3 {
-		t.Errorf("sent %d times, want 3", sent)
-	}
-	if _, isGranted := f.ask(func(ask *choose.Ask) { ask.Content = harmless }).(choose.Granted); !isGranted {
-		t.Error("another fingerprint is refused")
-	}
-}
-
 // pendingAttempt is a request in flight on a server.
 type pendingAttempt struct {
 	ticket uint64
--- /dev/null
+++ b/crash/counter.go
@@ -0,0 +1,381 @@
+package crash
+
+import (
+	"cmp"
+	"hash/maphash"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Limits of the counts and of what a Counter remembers.
+const (
+	// MaxEnds is the number of servers that a request may end before it is refused.
+	MaxEnds = 3
+	// maxKnownEnds bounds the ends that are kept of one fingerprint, and
+	// maxWithdrawn those that were withdrawn.
+	maxKnownEnds = 8
+	maxWithdrawn = 16
+	// maxCounts bounds the fingerprints. At the bound, evictedShare of them goes:
+	// those with the fewest ends, the oldest first.
+	maxCounts    = 8192
+	evictedShare = 8
+	// countRetention is how long a fingerprint is remembered after its last end.
+	countRetention = 48 * time.Hour
+	// copyWait is the advised wait when other copies of a suspected request run.
+	copyWait = time.Second
+	// minRestartTime is shorter than any restart of a server, so that a response
+	// within it proves that the server did not end.
+	minRestartTime = 500 * time.Millisecond
+	// silenceRetention is how long an attempt without a response, or the end of a
+	// server, waits for the other one to become known.
+	silenceRetention = 20 * time.Second
+	maxSilent        = 8192
+)
+
+// refusalPeriods are how long a request is refused after MaxEnds servers, after one
+// more, and so on. A single copy tests after each period whether it still ends servers.
+// The periods allow three tests a day.
+var refusalPeriods = []time.Duration{30 * time.Second, 10 * time.Minute, 5 * time.Hour, 24 * time.Hour}
+
+// incarnation is one start of a server.
+type incarnation struct {
+	server string
+	born   int64
+}
+
+// knownEnd is an end with what this process knows about it. Reported is set if a daemon
+// reported it, and stored if the fleet's record lists it.
+type knownEnd struct {
+	End
+
+	sentAt    time.Time
+	learnedAt time.Time
+	late      bool
+	reported  bool
+	stored    bool
+}
+
+// count is what is known of one fingerprint.
+type count struct {
+	ends         []knownEnd
+	withdrawn    []Attempt
+	lastAt       time.Time
+	tests        int
+	refusedUntil time.Time
+}
+
+// silentAttempt is an attempt that got no response and whose server may have ended.
+type silentAttempt struct {
+	fingerprint Fingerprint
+	end         End
+	sentAt      time.Time
+	learnedAt   time.Time
+}
+
+// Counter counts the servers that ended while they ran the same request, and decides
+// whether the request may be sent once more. It is not safe for concurrent use.
+type Counter struct {
+	seed     maphash.Seed
+	counts   map[Fingerprint]*count
+	suspects map[incarnation]map[Fingerprint]struct{}
+	silent   map[incarnation][]silentAttempt
+	silents  int
+	ended    map[incarnation]time.Time
+}
+
+// NewCounter returns a Counter without ends.
+func NewCounter() *Counter {
+	return &Counter{
+		seed:     maphash.MakeSeed(),
+		counts:   make(map[Fingerprint]*count),
+		suspects: make(map[incarnation]map[Fingerprint]struct{}),
+		silent:   make(map[incarnation][]silentAttempt),
+		ended:    make(map[incarnation]time.Time),
+	}
+}
+
+// Ends returns the number of servers that ended while they ran a request.
+func (c *Counter) Ends(fingerprint Fingerprint) int {
+	if found, known := c.counts[fingerprint]; known {
+		return len(found.ends)
+	}
+	return 0
+}
+
+// Record returns the ends of a fingerprint.
+func (c *Counter) Record(fingerprint Fingerprint) Record {
+	var record Record
+	if found, known := c.counts[fingerprint]; known {
+		for _, end := range found.ends {
+			record.Ends = append(record.Ends, end.End)
+		}
+	}
+	return record
+}
+
+// Admit reports whether a request may be sent to a server, of which inFlight copies
+// are under way, and otherwise how long to wait. A request that has ended servers may
+// have only as many copies as further ends are allowed; after MaxEnds it is refused, up
+// to single tests.
+func (c *Counter) Admit(now time.Time, fingerprint Fingerprint, inFlight int) (wait time.Duration, admitted bool) {
+	found, known := c.counts[fingerprint]
+	switch {
+	case !known || len(found.ends) == 0 || now.Sub(found.lastAt) > countRetention:
+		return 0, true
+	case len(found.ends) < MaxEnds:
+		return copyWait, len(found.ends)+inFlight < MaxEnds
+	case now.Before(found.refusedUntil):
+		return found.refusedUntil.Sub(now), false
+	case inFlight > 0:
+		return copyWait, false
+	default:
+		found.tests++
+		c.refuse(now, fingerprint, found)
+		return 0, true
+	}
+}
+
+// Refused returns how long a request is refused, whatever copies of it run; 0 if it is
+// not.
+func (c *Counter) Refused(now time.Time, fingerprint Fingerprint) time.Duration {
+	if found, known := c.counts[fingerprint]; known && len(found.ends) >= MaxEnds {
+		return max(found.refusedUntil.Sub(now), 0)
+	}
+	return 0
+}
+
+// refuse starts the next period of refusal. Its length differs from process to process,
+// so that their tests of one request don't coincide.
+func (c *Counter) refuse(now time.Time, fingerprint Fingerprint, found *count) {
+	next := min(max(len(found.ends)-MaxEnds, found.tests), len(refusalPeriods)-1)
+	spread := float64(maphash.Comparable(c.seed, fingerprint)) / math.MaxUint64
+	found.refusedUntil = now.Add(time.Duration(refusalPeriods[next].Seconds() * (1 + spread) * float64(time.Second)))
+}
+
+// Apply applies a report and returns the change.
+func (c *Counter) Apply(now time.Time, report Report) Observation {
+	change := ChangeNone
+	switch report.Kind {
+	case ServerEnded:
+		change = c.add(now, report.Fingerprint, knownEnd{
+			End: report.End, sentAt: now.Add(-report.SentAgo), learnedAt: now, late: report.Late, reported: true,
+		})
+	case Succeeded:
+		if found, known := c.counts[report.Fingerprint]; known && len(found.ends) > 0 {
+			c.remove(report.Fingerprint)
+			change = ChangeCleared
+		}
+	case Withdrawn:
+		if c.withdraw(report.Fingerprint, report.End) {
+			change = ChangeWithdrawn
+		}
+	}
+	return Observation{Fingerprint: report.Fingerprint, Change: change, Count: c.Ends(report.Fingerprint)}
+}
+
+// add adds an end unless it is known or withdrawn.
+func (c *Counter) add(now time.Time, fingerprint Fingerprint, end knownEnd) Change {
+	if fingerprint == 0 {
+		return ChangeNone
+	}
+	found, known := c.counts[fingerprint]
+	if !known {
+		c.makeRoom(now)
+		found = &count{}
+		c.counts[fingerprint] = found
+	}
+	at := slices.IndexFunc(found.ends, func(k knownEnd) bool { return k.Attempt == end.Attempt })
+	switch {
+	case at >= 0:
+		found.ends[at].reported = found.ends[at].reported || end.reported
+		found.ends[at].stored = found.ends[at].stored || end.stored
+		return ChangeNone
+	case slices.Contains(found.withdrawn, end.Attempt):
+		return ChangeNone
+	}
+	found.ends = append(found.ends, end)
+	if len(found.ends) > maxKnownEnds {
+		c.unindex(fingerprint, found.ends[0])
+		found.ends = slices.Delete(found.ends, 0, 1)
+	}
+	key := incarnation{server: end.Server, born: end.Born}
+	if c.suspects[key] == nil {
+		c.suspects[key] = make(map[Fingerprint]struct{})
+	}
+	c.suspects[key][fingerprint] = struct{}{}
+	found.lastAt = now
+	if len(found.ends) >= MaxEnds {
+		c.refuse(now, fingerprint, found)
+	}
+	return ChangeCounted
+}
+
+// withdraw removes an end and remembers it, since other daemons may report it later.
+func (c *Counter) withdraw(fingerprint Fingerprint, end End) bool {
+	found, known := c.counts[fingerprint]
+	if !known {
+		return false
+	}
+	if !slices.Contains(found.withdrawn, end.Attempt) {
+		found.withdrawn = append(found.withdrawn, end.Attempt)
+		found.withdrawn = found.withdrawn[max(len(found.withdrawn)-maxWithdrawn, 0):]
+	}
+	return c.removeEnds(fingerprint, found, func(k knownEnd) bool { return k.Attempt == end.Attempt })
+}
+
+// removeEnds removes the ends that match and reports whether there were any.
+func (c *Counter) removeEnds(fingerprint Fingerprint, found *count, matches func(end knownEnd) bool) bool {
+	before := len(found.ends)
+	for _, end := range found.ends {
+		if matches(end) {
+			c.unindex(fingerprint, end)
+		}
+	}
+	found.ends = slices.DeleteFunc(found.ends, matches)
+	return len(found.ends) < before
+}
+
+// remove forgets a fingerprint.
+func (c *Counter) remove(fingerprint Fingerprint) {
+	if found, known := c.counts[fingerprint]; known {
+		for _, end := range found.ends {
+			c.unindex(fingerprint, end)
+		}
+		delete(c.counts, fingerprint)
+	}
+}
+
+// unindex removes a fingerprint from the suspects of an end's server.
+func (c *Counter) unindex(fingerprint Fingerprint, end knownEnd) {
+	key := incarnation{server: end.Server, born: end.Born}
+	delete(c.suspects[key], fingerprint)
+	if len(c.suspects[key]) == 0 {
+		delete(c.suspects, key)
+	}
+}
+
+// makeRoom evicts fingerprints if the table is full: those without recent ends, and
+// then those with the fewest ends, the oldest first.
+func (c *Counter) makeRoom(now time.Time) {
+	if len(c.counts) < maxCounts {
+		return
+	}
+	order := slices.SortedFunc(maps.Keys(c.counts), func(a, b Fingerprint) int {
+		x, y := c.counts[a], c.counts[b]
+		return cmp.Or(cmp.Compare(len(x.ends), len(y.ends)), x.lastAt.Compare(y.lastAt), cmp.Compare(a, b))
+	})
+	for i, fingerprint := range order {
+		if i < len(order)/evictedShare || now.Sub(c.counts[fingerprint].lastAt) > countRetention {
+			c.remove(fingerprint)
+		}
+	}
+}
+
+// SetStored replaces what the fleet has stored. Ends that only the store knew are
+// dropped with their record.
+func (c *Counter) SetStored(now time.Time, stored map[Fingerprint]Record) {
+	for fingerprint, found := range c.counts {
+		listed := stored[fingerprint].Ends
+		c.removeEnds(fingerprint, found, func(k knownEnd) bool {
+			return k.stored && !k.reported && !slices.ContainsFunc(listed, func(e End) bool { return e.Attempt == k.Attempt })
+		})
+	}
+	for fingerprint, record := range stored {
+		for _, end := range record.Ends {
+			c.add(now, fingerprint, knownEnd{End: end, learnedAt: now, late: true, stored: true})
+		}
+	}
+}
+
+// Responded returns the reports that withdraw the ends of a server which a response
+// proves wrong. It was received over a connection that was opened at openedAt, for a
+// request that was sent at sentAt.
+func (c *Counter) Responded(now time.Time, server string, born int64, openedAt, sentAt time.Time) []Report {
+	key := incarnation{server: server, born: born}
+	var reports []Report
+	for fingerprint := range c.suspects[key] {
+		for _, end := range c.counts[fingerprint].ends {
+			if end.Server == server && end.Born == born && end.disproved(now, openedAt, sentAt) {
+				reports = append(reports, Report{Kind: Withdrawn, Fingerprint: fingerprint, End: end.End})
+			}
+		}
+	}
+	return reports
+}
+
+// disproved reports whether a response proves that the server did not end: its request
+// was sent after the end was noticed, over a connection that is older than the attempt,
+// or so soon after the end that the server cannot have restarted.
+func (e knownEnd) disproved(now, openedAt, sentAt time.Time) bool {
+	if !e.reported || !sentAt.After(e.learnedAt) {
+		return false
+	}
+	return openedAt.Before(e.sentAt) || (!e.late && now.Sub(e.learnedAt) < minRestartTime)
+}
+
+// Silent records an attempt that got no complete response. It returns the report of an
+// end if the server is known to have ended.
+func (c *Counter) Silent(now time.Time, fingerprint Fingerprint, end End, sentAgo time.Duration) []Report {
+	if fingerprint == 0 {
+		return nil
+	}
+	attempt := silentAttempt{fingerprint: fingerprint, end: end, sentAt: now.Add(-sentAgo), learnedAt: now}
+	key := incarnation{server: end.Server, born: end.Born}
+	if _, known := c.ended[key]; known {
+		return []Report{attempt.report(now)}
+	}
+	if c.silents < maxSilent {
+		c.silent[key] = append(c.silent[key], attempt)
+		c.silents++
+	}
+	return nil
+}
+
+// EndServer records that a server is gone without notice, or was started again. It
+// returns the reports of the attempts that got no response from it.
+func (c *Counter) EndServer(now time.Time, server string, born int64) []Report {
+	key := incarnation{server: server, born: born}
+	c.ended[key] = now
+	var reports []Report
+	for _, attempt := range c.silent[key] {
+		if now.Sub(attempt.learnedAt) <= silenceRetention {
+			reports = append(reports, attempt.report(now))
+		}
+	}
+	c.silents -= len(c.silent[key])
+	delete(c.silent, key)
+	return reports
+}
+
+func (a silentAttempt) report(now time.Time) Report {
+	return Report{Kind: ServerEnded, Fingerprint: a.fingerprint, End: a.end, SentAgo: now.Sub(a.sentAt), Late: true}
+}
+
+// Fingerprints returns the fingerprints that have ended servers, in ascending order.
+func (c *Counter) Fingerprints() []Fingerprint { return slices.Sorted(maps.Keys(c.counts)) }
+
+// Expire drops what is too old and returns the fingerprints that it forgot.
+func (c *Counter) Expire(now time.Time) []Fingerprint {
+	for key, at := range c.ended {
+		if now.Sub(at) > silenceRetention {
+			delete(c.ended, key)
+		}
+	}
+	for key, attempts := range c.silent {
+		kept := slices.DeleteFunc(attempts, func(a silentAttempt) bool { return now.Sub(a.learnedAt) > silenceRetention })
+		c.silents -= len(attempts) - len(kept)
+		if c.silent[key] = kept; len(kept) == 0 {
+			delete(c.silent, key)
+		}
+	}
+	var expired []Fingerprint
+	for fingerprint, found := range c.counts {
+		if now.Sub(found.lastAt) > countRetention {
+			c.remove(fingerprint)
+			expired = append(expired, fingerprint)
+		}
+	}
+	return expired
+}
--- /dev/null
+++ b/crash/counter_test.go
@@ -0,0 +1,228 @@
+package crash_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dandeliondoor/crash"
+)
+
+const fingerprint crash.Fingerprint = 7
+
+// newEnd returns the end of a server that ran an attempt.
+func newEnd(ticket uint64) crash.End {
+	return crash.End{Attempt: crash.Attempt{Daemon: "front-1", Ticket: ticket}, Server: fmt.Sprintf("i-%d", ticket), Born: 1}
+}
+
+func ended(ticket uint64) crash.Report {
+	return crash.Report{Kind: crash.ServerEnded, Fingerprint: fingerprint, End: newEnd(ticket)}
+}
+
+// TestRefusalForADay guards against a request that ends a few servers again and again
+// over a day (the incident BUDGET): it comes every ten seconds, and ends each server
+// that it reaches. After the third, at most three tests may end one.
+func TestRefusalForADay(t *testing.T) {
+	t.Parallel()
+	counter := crash.NewCounter()
+	start := time.Now()
+	sent := uint64(0)
+	for now := start; now.Sub(start) < 24*time.Hour; now = now.Add(10 * time.Second) {
+		if _, admitted := counter.Admit(now, fingerprint, 0); admitted {
+			sent++
+			counter.Apply(now, ended(sent))
+		}
+		counter.Expire(now)
+	}
+	const tests = 3
+	if sent < crash.MaxEnds || sent > crash.MaxEnds+tests {
+		t.Errorf("%d servers ended, want %d and at most %d tests", sent, crash.MaxEnds, tests)
+	}
+}
+
+// TestTestWithoutOutcome guards against tests that follow each other because the
+// outcome of a test never came.
+func TestTestWithoutOutcome(t *testing.T) {
+	t.Parallel()
+	counter := crash.NewCounter()
+	now := time.Now()
+	for ticket := range uint64(crash.MaxEnds) {
+		counter.Apply(now, ended(ticket))
+	}
+	tests := 0
+	for end := now.Add(5 * time.Minute); now.Before(end); now = now.Add(time.Second) {
+		if _, admitted := counter.Admit(now, fingerprint, 0); admitted {
+			tests++
+		}
+	}
+	if tests != 1 {
+		t.Errorf("%d tests in five minutes, want one", tests)
+	}
+}
+
+// TestAdmit checks how many copies of a suspected request may be under way.
+func TestAdmit(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name     string
+		ends     uint64
+		inFlight int
+		admitted bool
+	}{
+		{name: "no ends, many copies", inFlight: 50, admitted: true},
+		{name: "one end, one copy", ends: 1, inFlight: 1, admitted: true},
+		{name: "one end, two copies", ends: 1, inFlight: 2},
+		{name: "three ends", ends: 3},
+		{name: "two ends, no copy", ends: 2, admitted: true},
+		{name: "two ends, one copy", ends: 2, inFlight: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			counter := crash.NewCounter()
+			now := time.Now()
+			for ticket := range test.ends {
+				counter.Apply(now, ended(ticket))
+			}
+			wait, admitted := counter.Admit(now, fingerprint, test.inFlight)
+			if admitted != test.admitted || (!admitted && wait <= 0) {
+				t.Errorf("admitted %t, wait %s", admitted, wait)
+			}
+		})
+	}
+}
+
+// TestResponded guards against requests that are refused although their servers live:
+// which responses of a server prove that it did not end.
+func TestResponded(t *testing.T) {
+	t.Parallel()
+	const work = 200 * time.Millisecond
+	for _, test := range []struct {
+		name      string
+		late      bool
+		after     time.Duration
+		openedAgo time.Duration
+		sentAgo   time.Duration
+		withdrawn bool
+	}{
+		{name: "connection older than the attempt", after: 5 * time.Second, openedAgo: 10 * time.Second, sentAgo: time.Second, withdrawn: true},
+		{name: "connection opened after the end", after: 5 * time.Second, openedAgo: 2 * time.Second, sentAgo: time.Second},
+		{name: "new connection, too soon for a restart", after: 300 * time.Millisecond, openedAgo: 100 * time.Millisecond, sentAgo: 100 * time.Millisecond, withdrawn: true},
+		{name: "new connection soon after an end that was noticed late", late: true, after: 300 * time.Millisecond, openedAgo: 100 * time.Millisecond, sentAgo: 100 * time.Millisecond},
+		{name: "request sent before the end", after: 300 * time.Millisecond, openedAgo: 10 * time.Second, sentAgo: 400 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			counter := crash.NewCounter()
+			now := time.Now()
+			report := ended(1)
+			report.SentAgo, report.Late = work, test.late
+			counter.Apply(now, report)
+			now = now.Add(test.after)
+			reports := counter.Responded(now, report.End.Server, report.End.Born, now.Add(-test.openedAgo), now.Add(-test.sentAgo))
+			for _, withdrawal := range reports {
+				counter.Apply(now, withdrawal)
+			}
+			if withdrawn := counter.Ends(fingerprint) == 0; withdrawn != test.withdrawn {
+				t.Errorf("withdrawn %t, want %t", withdrawn, test.withdrawn)
+			}
+			if counter.Responded(now, report.End.Server, report.End.Born+1, now.Add(-time.Hour), now) != nil {
+				t.Error("a response of another incarnation withdraws the end")
+			}
+		})
+	}
+}
+
+// TestSilent guards against a server that ends without closing its connections and is
+// not counted (the incident BUDGET): its attempts just get no response.
+func TestSilent(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		play func(counter *crash.Counter, now time.Time, end crash.End) []crash.Report
+		ends int
+	}{
+		{name: "another start", play: func(counter *crash.Counter, now time.Time, end crash.End) []crash.Report {
+			counter.Silent(now, fingerprint, end, time.Second)
+			return counter.EndServer(now.Add(5*time.Second), end.Server, end.Born+1)
+		}},
+		{name: "end long after the attempt", play: func(counter *crash.Counter, now time.Time, end crash.End) []crash.Report {
+			counter.Silent(now, fingerprint, end, time.Second)
+			return counter.EndServer(now.Add(time.Minute), end.Server, end.Born)
+		}},
+		{name: "end noticed after the attempt", ends: 1, play: func(counter *crash.Counter, now time.Time, end crash.End) []crash.Report {
+			counter.Silent(now, fingerprint, end, time.Second)
+			return counter.EndServer(now.Add(5*time.Second), end.Server, end.Born)
+		}},
+		{name: "end noticed before the attempt is given up", ends: 1, play: func(counter *crash.Counter, now time.Time, end crash.End) []crash.Report {
+			counter.EndServer(now, end.Server, end.Born)
+			return counter.Silent(now.Add(5*time.Second), fingerprint, end, 6*time.Second)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			counter := crash.NewCounter()
+			now := time.Now()
+			for _, report := range test.play(counter, now, newEnd(1)) {
+				counter.Apply(now, report)
+			}
+			if ends := counter.Ends(fingerprint); ends != test.ends {
+				t.Errorf("%d ends, want %d", ends, test.ends)
+			}
+		})
+	}
+}
+
+// TestSetStored checks what a process knows after it read the fleet's record: its own
+// ends stay, those that only the record had go with it, and a withdrawn one stays away.
+func TestSetStored(t *testing.T) {
+	t.Parallel()
+	counter := crash.NewCounter()
+	now := time.Now()
+	counter.Apply(now, ended(1))
+	stored := func(tickets ...uint64) map[crash.Fingerprint]crash.Record {
+		var record crash.Record
+		for _, ticket := range tickets {
+			record.Ends = append(record.Ends, newEnd(ticket))
+		}
+		return map[crash.Fingerprint]crash.Record{fingerprint: record}
+	}
+	check := func(what string, want int) {
+		t.Helper()
+		if ends := counter.Ends(fingerprint); ends != want {
+			t.Errorf("%s: %d ends, want %d", what, ends, want)
+		}
+	}
+	counter.SetStored(now, stored(1, 2, 3))
+	check("three stored, one of them known", 3)
+	counter.Apply(now, crash.Report{Kind: crash.Withdrawn, Fingerprint: fingerprint, End: newEnd(2)})
+	counter.SetStored(now, stored(1, 2, 3))
+	check("one withdrawn", 2)
+	counter.SetStored(now, nil)
+	check("record removed", 1)
+}
+
+// TestReportOrder checks that two processes that get the same reports, in any order and
+// some of them twice, know the same ends.
+func TestReportOrder(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		tickets := rapid.SliceOfN(rapid.Uint64Range(1, 8), 1, 12).Draw(t, "tickets")
+		order := rapid.Permutation(tickets).Draw(t, "order")
+		now := time.Now()
+		record := func(tickets []uint64) []crash.End {
+			counter := crash.NewCounter()
+			for _, ticket := range tickets {
+				counter.Apply(now, ended(ticket))
+			}
+			ends := counter.Record(fingerprint).Ends
+			slices.SortFunc(ends, func(a, b crash.End) int { return int(a.Attempt.Ticket) - int(b.Attempt.Ticket) })
+			return ends
+		}
+		if a, b := record(tickets), record(order); !slices.Equal(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
--- /dev/null
+++ b/crash/end.go
@@ -0,0 +1,45 @@
+package crash
+
+import "time"
+
+// Attempt identifies one attempt of a request: the daemon that made it and its number
+// there.
+type Attempt struct {
+	Daemon string
+	Ticket uint64
+}
+
+// End is a server that ended while it ran an attempt. Born identifies the start of the
+// server.
+type End struct {
+	Attempt Attempt
+	Server  string
+	Born    int64
+}
+
+// Record lists the ends of one fingerprint, as the fleet stores them.
+type Record struct{ Ends []End }
+
+// Kind is what a report says about a fingerprint.
+type Kind uint8
+
+// The kinds of reports.
+const (
+	// ServerEnded is a server that ended while it ran the request.
+	ServerEnded Kind = iota
+	// Succeeded is a server that ran the request to a good end.
+	Succeeded
+	// Withdrawn is a reported end of a server that turned out to live.
+	Withdrawn
+)
+
+// Report is what one daemon tells others about a fingerprint. SentAgo is the time since
+// the attempt was sent. Late means that the end was noticed some time after it
+// occurred. End is empty in a report that the request Succeeded.
+type Report struct {
+	Kind        Kind
+	Fingerprint Fingerprint
+	End         End
+	SentAgo     time.Duration
+	Late        bool
+}
--- a/crash/observation.go
+++ b/crash/observation.go
@@ -9,19 +9,14 @@
 	ChangeNone Change = ""
 	// ChangeCounted is a server that ended while it ran the request.
 	ChangeCounted Change = "counted"
-	// ChangeCleared is a count that an answer ended.
+	// ChangeCleared is a count that a success ended.
 	ChangeCleared Change = "cleared"
-	// ChangeExpired is a count that was too old.
-	ChangeExpired Change = "expired"
-	// ChangeEvicted means that the table was full.
-	ChangeEvicted Change = "evicted"
-	// ChangeMissed is an end that could not be counted, since its server or attempt
-	// was not known any more.
-	ChangeMissed Change = "missed"
+	// ChangeWithdrawn is an end of a server that turned out to live.
+	ChangeWithdrawn Change = "withdrawn"
 )
 
-// Observation reports a change of the count of a fingerprint, which is 0 if it is not
-// known. Count is the number after the change.
+// Observation reports a change of the count of a fingerprint. Count is the number
+// after the change.
 type Observation struct {
 	Fingerprint Fingerprint
 	Change      Change
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -19,6 +20,13 @@
 // String returns the fingerprint in hexadecimal digits, as in log lines.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// ParseFingerprint is the inverse of String.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	const base, bits = 16, 64
+	value, err := strconv.ParseUint(text, base, bits)
+	return Fingerprint(value), err
+}
+
 // Standing is the degree of suspicion against a fingerprint, in ascending order.
 type Standing uint8
 
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -83,8 +83,9 @@
 	seed := rank.Score(settings.Name, settings.Zone)
 	f.feed = f.newFeed(platform, peers, seed)
 	slotsLog := logger.Part(slots.Name)
-	broker := slots.NewBroker(f.retryLimits(), seed, slots.WithLog(slotsLog))
-	fallback := slots.NewFallback(f.retryLimits(), seed, slots.WithLog(slotsLog))
+	crashes := slots.NewCrashes(slots.WithFleet(f.feed, peers, platform.Sources.Crashes), slots.WithCrashLog(slotsLog))
+	broker := slots.NewBroker(f.retryLimits(), seed, slots.WithCrashes(crashes))
+	fallback := slots.NewFallback(f.retryLimits(), seed, slots.WithCrashes(crashes))
 	f.broker, f.fallback = broker, fallback
 	f.feed.Watch(func(view *feed.View) { broker.SetView(time.Now(), view) })
 	f.feed.Watch(func(view *feed.View) { fallback.SetView(time.Now(), view) })
--- a/fakes/crash_host.go
+++ b/fakes/crash_host.go
@@ -1,7 +1,6 @@
 package fakes
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -123,16 +122,14 @@
 	closing := h.http
 	h.mutex.Unlock()
 	_ = closing.Close()
-	go h.restart()
+	time.AfterFunc(h.pause, h.restart)
 	panic(http.ErrAbortHandler)
 }
 
-// restart starts the next incarnation after the pause. The port may still be in use
-// for a moment.
+// restart starts the next incarnation, again after a while if its port is still in use.
 func (h *CrashHost) restart() {
 	const retryWait = 50 * time.Millisecond
-	sleep(context.Background(), h.pause)
-	for h.Start() != nil {
-		sleep(context.Background(), retryWait)
+	if h.Start() != nil {
+		time.AfterFunc(retryWait, h.restart)
 	}
 }
--- a/feed/message.go
+++ b/feed/message.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/topo"
 )
 
 // RPC names of the calls by which a daemon follows another one and asks a seed for its
-// sources. receiverName is
-// also part of the key that ranks the daemons of a zone.
+// sources. receiverName is also part of the key that ranks the daemons of a zone.
 const (
 	receiverName = "Feed"
 	followMethod = "Feed.Follow"
@@ -23,8 +23,9 @@
 type JoinReply struct{ Sources []topo.Daemon }
 
 // FollowRequest describes the data that the follower already has. Confirmed and the
-// revisions in Servers and Daemons are valid only for the process with that
-// Incarnation; the checksums in ServersSum and DaemonsSum are valid for any process.
+// revisions in Servers, Daemons and Crashes are valid only for the process with that
+// Incarnation; the checksums in ServersSum, DaemonsSum and CrashesSum are valid for any
+// process.
 // Config is the version of the configuration, and Name is the follower's name.
 type FollowRequest struct {
 	Name        string
@@ -35,6 +36,8 @@
 	ServersSum  uint64
 	Daemons     uint64
 	DaemonsSum  uint64
+	Crashes     uint64
+	CrashesSum  uint64
 }
 
 // FollowReply contains the data that is newer than the follower's. Age is the
@@ -57,6 +60,9 @@
 	Daemons         []topo.Change[topo.Daemon]
 	DaemonsComplete bool
 	DaemonsRev      uint64
+	Crashes         []topo.Change[crash.Record]
+	CrashesComplete bool
+	CrashesRev      uint64
 	Snapshot        []byte
 }
 
--- a/feed/read.go
+++ b/feed/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/kernel"
 	"dandeliondoor/topo"
 )
@@ -16,7 +17,7 @@
 	// daemons, whose list changes rarely.
 	daemonsPollHold = 10 * time.Second
 	// configHoldIntervals is how long the store may hold a long poll for the
-	// configuration, in multiples of Settings.Interval. It is short because a
+	// configuration or the crashes, in multiples of Settings.Interval. It is short because a
 	// call that is held while a record is stored may miss the record.
 	configHoldIntervals = 2
 	// fallbackRetryWait is the wait after a failed read by a daemon that usually
@@ -43,6 +44,9 @@
 	daemons := kernel.Run(ctx, func(ctx context.Context) error {
 		return longPoll(ctx, s, s.sources.Daemons, daemonsPollHold, s.updateDaemons)
 	})
+	crashes := kernel.Run(ctx, func(ctx context.Context) error {
+		return longPoll(ctx, s, s.sources.Crashes, configHoldIntervals*s.settings.Interval, s.updateCrashes)
+	})
 	for ctx.Err() == nil && s.isReader(time.Now()) {
 		pause(ctx, s.settings.Interval)
 		// Long polls that the store still holds after an outage may never be
@@ -52,7 +56,7 @@
 		}
 	}
 	cancel()
-	if err := errors.Join(<-configs, <-daemons); err != nil {
+	if err := errors.Join(<-configs, <-daemons, <-crashes); err != nil {
 		s.log.WithError(err).Warn("long polls ended with an error")
 	}
 }
@@ -142,6 +146,10 @@
 	s.update(func(state *state) bool { return state.applyDaemons(changes, complete) })
 }
 
+func (s *Service) updateCrashes(changes []topo.Change[crash.Record], complete bool) {
+	s.update(func(state *state) bool { return state.applyCrashes(changes, complete) })
+}
+
 // longPoll polls one part of the store with long polls until the context ends.
 func longPoll[V any](
 	ctx context.Context, s *Service, poller Poller[V], hold time.Duration, apply func(changes []topo.Change[V], complete bool),
--- a/feed/receiver.go
+++ b/feed/receiver.go
@@ -86,6 +86,7 @@
 		Confirmed:   s.confirmed,
 		ServersRev:  state.servers.Rev(),
 		DaemonsRev:  state.daemons.Rev(),
+		CrashesRev:  state.crashes.Rev(),
 	}
 	switch {
 	case reply.Unfit:
@@ -97,15 +98,17 @@
 	confirmed := request.Incarnation != s.incarnation || request.Confirmed != s.confirmed
 	request.Servers = baseRev(s.incarnation, request.Incarnation, state.servers, request.Servers, request.ServersSum)
 	request.Daemons = baseRev(s.incarnation, request.Incarnation, state.daemons, request.Daemons, request.DaemonsSum)
+	request.Crashes = baseRev(s.incarnation, request.Incarnation, state.crashes, request.Crashes, request.CrashesSum)
 	if state.config.Version > request.Config {
 		reply.Config = state.config
 	}
 	servers, complete := state.servers.Since(request.Servers)
 	reply.Servers, reply.ServersComplete = toWire(now, servers, s.removals.held), complete
 	reply.Daemons, reply.DaemonsComplete = state.daemons.Since(request.Daemons)
+	reply.Crashes, reply.CrashesComplete = state.crashes.Since(request.Crashes)
 	s.pack(now, reply)
 	return confirmed || reply.Config != nil || complete || len(servers) > 0 ||
-		reply.DaemonsComplete || len(reply.Daemons) > 0 || reply.Age > s.settings.StaleAfter
+		reply.DaemonsComplete || len(reply.Daemons) > 0 || reply.CrashesComplete || len(reply.Crashes) > 0 || reply.Age > s.settings.StaleAfter
 }
 
 // unknownRev is higher than any revision, which makes VersionedTable.Since
--- a/feed/service.go
+++ b/feed/service.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/kernel"
 	"dandeliondoor/topo"
 	"dandeliondoor/wire"
@@ -36,11 +37,19 @@
 	Withdraw(ctx context.Context, name string) error
 }
 
+// CrashLog lists the requests that have ended several servers, by fingerprint.
+type CrashLog interface {
+	Poller[crash.Record]
+	Put(ctx context.Context, fingerprint crash.Fingerprint, record crash.Record) error
+	Remove(ctx context.Context, fingerprint crash.Fingerprint) error
+}
+
 // Sources contains the parts of the store that the feed reads.
 type Sources struct {
 	Configs Poller[*topo.Config]
 	Servers Poller[topo.Server]
 	Daemons Registry
+	Crashes CrashLog
 }
 
 // Settings contains the settings of the feed. Interval is the time between two
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/fakes"
 	"dandeliondoor/feed"
 	"dandeliondoor/kernel"
@@ -116,12 +117,26 @@
 	return nil
 }
 
+// crashLog is one daemon's access to the table of requests that crash servers.
+type crashLog struct{ poller[crash.Record] }
+
+func (l *crashLog) Put(_ context.Context, fingerprint crash.Fingerprint, record crash.Record) error {
+	l.table.put(fingerprint.String(), record)
+	return nil
+}
+
+func (l *crashLog) Remove(_ context.Context, fingerprint crash.Fingerprint) error {
+	l.table.remove(fingerprint.String())
+	return nil
+}
+
 // zone contains the daemons of one availability zone, or of several ones in turn, their
 // fake store and the links through which other daemons reach them.
 type zone struct {
 	configs  *table[*topo.Config]
 	servers  *table[topo.Server]
 	daemons  *table[topo.Daemon]
+	crashes  *table[crash.Record]
 	feeds    []*feed.Service
 	accesses []*storeAccess
 	links    []*fakes.Link
@@ -151,6 +166,7 @@
 	z := &zone{
 		names:   names,
 		configs: newTable[*topo.Config](), servers: newTable[topo.Server](), daemons: newTable[topo.Daemon](),
+		crashes:  newTable[crash.Record](),
 		interval: interval, stale: stale,
 	}
 	z.configs.put("config", &topo.Config{Version: 1})
@@ -187,6 +203,7 @@
 		Configs: &poller[*topo.Config]{table: z.configs, access: access},
 		Servers: &poller[topo.Server]{table: z.servers, access: access},
 		Daemons: &registry{poller[topo.Daemon]{table: z.daemons, access: access}},
+		Crashes: &crashLog{poller[crash.Record]{table: z.crashes, access: access}},
 	}, peers, feed.Settings{Interval: z.interval, StaleAfter: z.stale, Seeds: z.seeds, Seed: uint64(i)}, logs.Discard().Part(feed.Name))
 	server := wire.NewServer(meter)
 	server.Add(service.Receivers)
@@ -370,6 +387,7 @@
 		Configs: &poller[*topo.Config]{table: configs, access: access},
 		Servers: &poller[topo.Server]{table: servers, access: access},
 		Daemons: &registry{poller[topo.Daemon]{table: daemons, access: access}},
+		Crashes: &crashLog{poller[crash.Record]{table: newTable[crash.Record](), access: access}},
 	}, wire.NewPeers(&wire.Meter{}), feed.Settings{Interval: interval, StaleAfter: stale}, logrus.NewEntry(logger))
 	views := make(chan *feed.View, 100)
 	service.Watch(func(view *feed.View) { views <- view })
@@ -630,6 +648,7 @@
 			Configs: &poller[*topo.Config]{table: z.configs, access: access},
 			Servers: &poller[topo.Server]{table: z.servers, access: access},
 			Daemons: &registry{poller[topo.Daemon]{table: z.daemons, access: access}},
+			Crashes: &crashLog{poller[crash.Record]{table: z.crashes, access: access}},
 		}, peers, feed.Settings{
 			Interval: interval, StaleAfter: stale, Seeds: []netip.AddrPort{z.feeds[1].Self().Address},
 		}, logs.Discard().Part(feed.Name))
@@ -663,3 +682,32 @@
 	z.start(t, len(z.feeds))
 	z.waitFor(t, len(z.feeds)-1, "ready without servers", (*feed.View).Ready)
 }
+
+// TestCrashes guards against a daemon that does not know of a request that has ended
+// servers: it must learn of it from the store through the others, also when it is
+// started later, and forget it when the record is removed.
+func TestCrashes(t *testing.T) {
+	t.Parallel()
+	z := newZone(t, 6)
+	const fingerprint crash.Fingerprint = 7
+	end := func(ticket uint64) crash.End {
+		return crash.End{Attempt: crash.Attempt{Daemon: "front-0", Ticket: ticket}, Server: "i-1", Born: 1}
+	}
+	knows := func(count int) func(view *feed.View) bool {
+		return func(view *feed.View) bool { return len(view.Crashes[fingerprint].Ends) == count }
+	}
+	z.crashes.put(fingerprint.String(), crash.Record{Ends: []crash.End{end(1), end(2)}})
+	for i := range z.feeds {
+		z.waitFor(t, i, "two ends", knows(2))
+	}
+	z.start(t, len(z.feeds))
+	z.waitFor(t, len(z.feeds)-1, "two ends after a start", knows(2))
+	z.crashes.put(fingerprint.String(), crash.Record{Ends: []crash.End{end(1), end(2), end(3)}})
+	for i := range z.feeds {
+		z.waitFor(t, i, "three ends", knows(3))
+	}
+	z.crashes.remove(fingerprint.String())
+	for i := range z.feeds {
+		z.waitFor(t, i, "removal", knows(0))
+	}
+}
--- a/feed/source.go
+++ b/feed/source.go
@@ -217,6 +217,7 @@
 	s.followed = followedSource{name: name, position: FollowRequest{
 		ServersSum: s.state.servers.Checksum(),
 		DaemonsSum: s.state.daemons.Checksum(),
+		CrashesSum: s.state.crashes.Checksum(),
 	}}
 	if s.state.config != nil {
 		s.followed.position.Config = s.state.config.Version
@@ -237,6 +238,7 @@
 		}
 		changed = state.applyServers(fromWire(now, reply.Servers, state.servers, &s.removals), reply.ServersComplete) || changed
 		changed = state.applyDaemons(reply.Daemons, reply.DaemonsComplete) || changed
+		changed = state.applyCrashes(reply.Crashes, reply.CrashesComplete) || changed
 		// No list is sent if the checksums match, as they do for two empty tables.
 		changed = changed || !state.serversKnown
 		state.serversKnown = true
@@ -248,6 +250,7 @@
 	s.followed.position = FollowRequest{
 		ServersSum: s.state.servers.Checksum(),
 		DaemonsSum: s.state.daemons.Checksum(),
+		CrashesSum: s.state.crashes.Checksum(),
 	}
 	if s.state.config != nil {
 		s.followed.position.Config = s.state.config.Version
@@ -255,6 +258,7 @@
 	if newer {
 		s.followed.position.Incarnation, s.followed.position.Confirmed = reply.Incarnation, reply.Confirmed
 		s.followed.position.Servers, s.followed.position.Daemons = reply.ServersRev, reply.DaemonsRev
+		s.followed.position.Crashes = reply.CrashesRev
 	}
 	return newer
 }
--- a/feed/view.go
+++ b/feed/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/topo"
 )
 
@@ -15,12 +16,13 @@
 // store last confirmed the servers. RenewedAt is when this daemon last got a
 // fresh view after having an old one (see renewedFactor) or none; the
 // configuration may arrive slightly later. Services groups the servers by
-// service.
+// service. Crashes contains the requests that have ended several servers.
 type View struct {
 	Table     *topo.RouteTable
 	Servers   map[string]topo.Server
 	Services  map[string][]topo.Server
 	Daemons   []topo.Daemon
+	Crashes   map[crash.Fingerprint]crash.Record
 	FreshAt   time.Time
 	RenewedAt time.Time
 }
@@ -34,6 +36,7 @@
 	config       *topo.Config
 	servers      *topo.VersionedTable[topo.Server]
 	daemons      *topo.VersionedTable[topo.Daemon]
+	crashes      *topo.VersionedTable[crash.Record]
 	serversKnown bool
 	freshAt      time.Time
 	renewedAt    time.Time
@@ -41,7 +44,10 @@
 }
 
 func newState() *state {
-	return &state{servers: topo.NewVersionedTable(hashServer), daemons: topo.NewVersionedTable(hashDaemon)}
+	return &state{
+		servers: topo.NewVersionedTable(hashServer), daemons: topo.NewVersionedTable(hashDaemon),
+		crashes: topo.NewVersionedTable(hashCrash),
+	}
 }
 
 // hashServer hashes the fields that Server.EqualExceptWarmUp compares.
@@ -55,6 +61,10 @@
 	return xxhash.Sum64String(fmt.Sprint(name, daemon.Zone, daemon.Address, daemon.Capacity))
 }
 
+func hashCrash(fingerprint string, record crash.Record) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(fingerprint, record.Ends))
+}
+
 // applyConfig stores a configuration if it is newer than the current one and
 // reports whether it did.
 func (s *state) applyConfig(config *topo.Config) bool {
@@ -74,6 +84,10 @@
 	return applyChanges(s.daemons, changes, complete, func(a, b topo.Daemon) bool { return a == b })
 }
 
+func (s *state) applyCrashes(changes []topo.Change[crash.Record], complete bool) bool {
+	return applyChanges(s.crashes, changes, complete, func(a, b crash.Record) bool { return slices.Equal(a.Ends, b.Ends) })
+}
+
 // applyChanges applies changes to a table and reports whether its contents
 // changed. A complete list also removes the keys that are not on it.
 func applyChanges[V any](table *topo.VersionedTable[V], changes []topo.Change[V], complete bool, equal func(a, b V) bool) bool {
@@ -134,6 +148,12 @@
 		})
 	}
 	s.daemons.Each(func(_ string, daemon topo.Daemon) { v.Daemons = append(v.Daemons, daemon) })
+	v.Crashes = make(map[crash.Fingerprint]crash.Record)
+	s.crashes.Each(func(key string, record crash.Record) {
+		if fingerprint, err := crash.ParseFingerprint(key); err == nil {
+			v.Crashes[fingerprint] = record
+		}
+	})
 	slices.SortFunc(v.Daemons, func(a, b topo.Daemon) int { return strings.Compare(a.Name, b.Name) })
 	return v
 }
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -64,7 +64,7 @@
 	}
 	conn, err := h.conns.Get(ctx, target, maxIdleTime)
 	if err != nil {
-		h.release(lease, dialOutcome(ctx), 0, proto.Report{Running: -1})
+		h.release(lease, choose.Release{Outcome: dialOutcome(ctx)}, proto.Report{Running: -1})
 		return attemptResult{failed: true, failure: NotSent, outcome: dialOutcome(ctx), err: err}
 	}
 	sent := time.Now()
@@ -97,15 +97,26 @@
 		res.outcome = choose.TimedOut
 	case ctx.Err() != nil:
 		res.outcome = choose.Cancelled
-	case isConnErr && connErr.Reused && errors.Is(connErr.Err, io.EOF):
-		// The server closed an idle connection while the request was being sent,
-		// so this is not reported as a lost connection.
-		res.outcome = choose.Cancelled
 	}
-	h.release(lease, res.outcome, elapsed, proto.Report{Running: -1})
+	h.release(lease, choose.Release{Outcome: res.outcome, Loss: lossOf(ctx, connErr), Duration: elapsed}, proto.Report{Running: -1})
 	return res
 }
 
+// lossOf returns how the response of an attempt failed to arrive. A malformed response
+// is none: the server that sent it has not ended.
+func lossOf(ctx context.Context, err *upconn.ConnError) choose.Loss {
+	switch {
+	case err == nil || !err.Written:
+		return choose.LossNone
+	case ctx.Err() != nil:
+		return choose.LossSilent
+	case err.Ended():
+		return choose.LossEnded
+	default:
+		return choose.LossNone
+	}
+}
+
 // receive buffers the response body, or its first maxBuffered bytes if it is
 // larger.
 func (h *Handler) receive(
@@ -123,7 +134,7 @@
 	if len(buffered) < maxBuffered {
 		conn.Finish(httpResponse)
 		h.conns.Put(conn)
-		h.release(lease, res.outcome, time.Since(sent), report)
+		h.release(lease, choose.Release{Outcome: res.outcome, Duration: time.Since(sent), ConnAge: conn.Age(time.Now())}, report)
 		return res
 	}
 	resp.rest = httpResponse.Body
@@ -140,18 +151,19 @@
 	ctx context.Context, lease *slots.Lease, conn *upconn.Conn, httpResponse *http.Response,
 	report proto.Report, sent time.Time, outcome choose.Outcome, err error,
 ) {
+	release := choose.Release{Outcome: outcome, Duration: time.Since(sent), ConnAge: conn.Age(time.Now())}
 	switch {
 	case err == nil:
 		conn.Finish(httpResponse)
 		h.conns.Put(conn)
 	case ctx.Err() != nil:
 		conn.Close()
-		outcome = choose.Cancelled
+		release.Outcome, release.Loss = choose.Cancelled, choose.LossSilent
 	default:
 		conn.Close()
-		outcome = choose.ConnectionLost
+		release.Outcome, release.Loss = choose.ConnectionLost, lossOf(ctx, &upconn.ConnError{Written: true, Err: err})
 	}
-	h.release(lease, outcome, time.Since(sent), report)
+	h.release(lease, release, report)
 }
 
 // classify determines from a response whether the request was served, and the
@@ -187,11 +199,10 @@
 	}
 }
 
-// release returns a lease with the outcome of its attempt and records whether
-// the server was reachable.
-func (h *Handler) release(lease *slots.Lease, outcome choose.Outcome, elapsed time.Duration, report proto.Report) {
-	h.recordReachability(lease.Server.ID, outcome)
-	h.slots.Release(lease, choose.Release{
-		Outcome: outcome, Duration: elapsed, Running: report.Running, Waiting: report.Waiting,
-	})
+// release returns a lease with the end of its attempt and records whether the server
+// was reachable.
+func (h *Handler) release(lease *slots.Lease, release choose.Release, report proto.Report) {
+	h.recordReachability(lease.Server.ID, release.Outcome)
+	release.Running, release.Waiting = report.Running, report.Waiting
+	h.slots.Release(lease, release)
 }
--- a/front/body.go
+++ b/front/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -20,13 +21,16 @@
 
 // body is a request body. It is buffered whole up to maxBuffered bytes; a larger
 // one, whether by its declared length or as found on reading, is streamed to a
-// single server.
+// single server; prefix is what was read of it before.
 type body struct {
 	buffered []byte
+	prefix   []byte
 	stream   io.Reader
 	length   int64
 }
 
+const decimal = 10
+
 // readBody buffers a body of up to maxBuffered bytes. A limit above 0 bounds the
 // size of the body that a caller may send.
 func readBody(r *http.Request, limit int64) (*body, error) {
@@ -49,7 +53,7 @@
 		return nil, err
 	}
 	if len(buffered) > maxBuffered {
-		return &body{stream: io.MultiReader(bytes.NewReader(buffered), source), length: -1}, nil
+		return &body{prefix: buffered, stream: io.MultiReader(bytes.NewReader(buffered), source), length: -1}, nil
 	}
 	return &body{buffered: buffered, length: int64(len(buffered))}, nil
 }
@@ -57,8 +61,9 @@
 // resendable reports whether the body can be sent more than once.
 func (b *body) resendable() bool { return b.stream == nil }
 
-// fingerprint returns a hash of the caller's address, the method, host, request
-// target and buffered body. It is never 0.
+// fingerprint returns a hash of the caller's address, the method, host, request target
+// and body; of a streamed body, its declared length and what was read of it. It is never
+// 0.
 func (b *body) fingerprint(r *http.Request) crash.Fingerprint {
 	caller, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
@@ -69,6 +74,10 @@
 		_, _ = digest.WriteString(part)
 		_, _ = digest.WriteString("\x00")
 	}
+	if b.stream != nil {
+		_, _ = digest.WriteString(strconv.FormatInt(b.length, decimal))
+	}
+	_, _ = digest.Write(b.prefix)
 	_, _ = digest.Write(b.buffered)
 	return crash.Fingerprint(max(digest.Sum64(), 1))
 }
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -214,10 +214,14 @@
 
 // noServerResponse returns the response to a request that no server was granted for.
 func (e *exchange) noServerResponse() localResponse {
-	return localResponse{
+	local := localResponse{
 		status: http.StatusServiceUnavailable, reason: reasonNoServer,
 		retryAfter: max(e.lastRefusal.RetryAfter, minRetryAfter),
 	}
+	if e.lastRefusal.Reason == choose.ReasonCrashes {
+		local.reason = reasonCrashes
+	}
+	return local
 }
 
 // outcomeNames maps outcomes to their names in logs and metrics.
--- a/front/local_response.go
+++ b/front/local_response.go
@@ -17,6 +17,7 @@
 	reasonBadFraming   reason = "bad_framing"
 	reasonBodyBroken   reason = "request_body_broken"
 	reasonBodyTooLarge reason = "request_body_too_large"
+	reasonCrashes      reason = "crashes_servers"
 	reasonDeadline     reason = "deadline"
 	reasonHeadTooLarge reason = "request_head_too_large"
 	reasonStopping     reason = "daemon_is_stopping"
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -4,12 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"dandeliondoor/choose"
-	"dandeliondoor/crash"
 	"dandeliondoor/feed"
-	"dandeliondoor/logs"
 	"dandeliondoor/rank"
 )
 
@@ -18,7 +14,7 @@
 	limits   choose.RetryLimits
 	seed     uint64
 	fallback bool
-	log      *logrus.Entry
+	crashes  *Crashes
 
 	mutex sync.Mutex
 	view  *feed.View
@@ -28,14 +24,15 @@
 // BrokerOption configures a Broker.
 type BrokerOption func(*Broker)
 
-// WithLog makes the broker log the requests whose servers ended.
-func WithLog(log *logrus.Entry) BrokerOption { return func(b *Broker) { b.log = log } }
+// WithCrashes makes the broker share the counts of requests that crash servers with the
+// other brokers of the daemon.
+func WithCrashes(crashes *Crashes) BrokerOption { return func(b *Broker) { b.crashes = crashes } }
 
 // NewBroker returns a broker without pools; limits bound the retries of each
 // service.
 func NewBroker(limits choose.RetryLimits, seed uint64, options ...BrokerOption) *Broker {
 	b := &Broker{
-		limits: limits, seed: seed, log: logs.Discard().Part(Name), view: &feed.View{}, pools: make(map[PoolKey]*choose.Pool),
+		limits: limits, seed: seed, crashes: NewCrashes(), view: &feed.View{}, pools: make(map[PoolKey]*choose.Pool),
 	}
 	for _, option := range options {
 		option(b)
@@ -65,6 +62,9 @@
 // SetView replaces the view of the servers. It drops the pools of services whose
 // number of parts has changed.
 func (b *Broker) SetView(now time.Time, view *feed.View) {
+	if !b.fallback {
+		b.crashes.SetView(now, view)
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.view = view
@@ -95,33 +95,22 @@
 		pool = b.newPool(now, request.Pool)
 		b.pools[request.Pool] = pool
 	}
+	inFlight := func() int { return pool.InFlight(now, request.Ask.Content) }
+	if wait, admitted := b.crashes.Admit(now, request.Ask.Content, inFlight); !admitted {
+		return choose.Refused{Reason: choose.ReasonCrashes, RetryAfter: wait}
+	}
 	return pool.Choose(now, request.Ask)
 }
 
 // Release ends an attempt. It ignores attempts of pools that don't exist, such as
-// those that SetView dropped.
+// those that SetView dropped, except for what they say of crashes.
 func (b *Broker) Release(now time.Time, request ReleaseRequest) {
+	b.crashes.Released(now, request.Release)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	pool, known := b.pools[request.Pool]
-	if !known {
-		if request.Release.Outcome == choose.ConnectionLost {
-			b.logCrash(request, crash.Observation{Change: crash.ChangeMissed})
-		}
-		return
-	}
-	b.logCrash(request, pool.Release(now, request.Release))
-}
-
-// logCrash logs a change of the number of servers that a request crashed.
-func (b *Broker) logCrash(request ReleaseRequest, observed crash.Observation) {
-	if observed.Change == crash.ChangeNone {
-		return
+	if pool, known := b.pools[request.Pool]; known {
+		pool.Release(now, request.Release)
 	}
-	b.log.WithField("fingerprint", observed.Fingerprint.String()).WithField("change", observed.Change).
-		WithField("count", observed.Count).WithField("service", request.Pool.Service).WithField("pool_part", request.Pool.Part).
-		WithField("server", request.Release.Server).WithField("daemon", request.Release.Daemon).
-		WithField("fallback", b.fallback).Info("crash count changed")
 }
 
 func (b *Broker) newPool(now time.Time, key PoolKey) *choose.Pool {
--- a/slots/client.go
+++ b/slots/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,16 +39,13 @@
 	fallback *Broker
 	log      *logrus.Entry
 	ticket   atomic.Uint64
-
-	mutex   sync.Mutex
-	ranked  map[PoolKey][]topo.Daemon
-	daemons []topo.Daemon
+	ranked   rankCache[PoolKey]
 }
 
 // NewClient returns a client. It uses broker for the parts that this daemon
 // brokers, and fallback when no broker can be reached.
 func NewClient(views ViewSource, peers *wire.Peers, broker, fallback *Broker, log *logrus.Entry) *Client {
-	c := &Client{views: views, peers: peers, broker: broker, fallback: fallback, log: log, ranked: make(map[PoolKey][]topo.Daemon)}
+	c := &Client{views: views, peers: peers, broker: broker, fallback: fallback, log: log}
 	c.ticket.Store(uint64(time.Now().UnixNano()))
 	return c
 }
@@ -59,6 +55,9 @@
 // because its view lacks the server or shows it as draining. Refusals is the number
 // of earlier refusals of the request.
 func (c *Client) Ask(ctx context.Context, service string, refusals int, ask choose.Ask) (*Lease, error) {
+	if wait := c.broker.crashes.Refused(time.Now(), ask.Content); wait > 0 {
+		return nil, &RefusedError{Refused: choose.Refused{Reason: choose.ReasonCrashes, RetryAfter: wait}}
+	}
 	ask.Daemon = c.views.Self().Name
 	ask.Ticket = c.ticket.Add(1)
 	pool := newPoolKey(service, len(c.views.View().Services[service]), ask.Content, refusals)
@@ -100,7 +99,7 @@
 		}
 		return nil, &RefusedError{Refused: refused}
 	}
-	lease := &Lease{Pool: request.Pool, Ticket: request.Ask.Ticket, Broker: broker, Fallback: fallback}
+	lease := &Lease{Pool: request.Pool, Content: request.Ask.Content, Ticket: request.Ask.Ticket, Broker: broker, Fallback: fallback}
 	server, known := c.views.View().Servers[reply.Granted.Server]
 	if !known || server.Draining {
 		lease.Server.ID = reply.Granted.Server
@@ -122,7 +121,8 @@
 
 // Release ends a lease and reports the outcome to the broker that granted it.
 func (c *Client) Release(lease *Lease, release choose.Release) {
-	release.Daemon, release.Ticket, release.Server = c.views.Self().Name, lease.Ticket, lease.Server.ID
+	release.Daemon, release.Ticket, release.Content = c.views.Self().Name, lease.Ticket, lease.Content
+	release.Server, release.Born = lease.Server.ID, lease.Server.Born
 	request := ReleaseRequest{Pool: lease.Pool, Release: release}
 	now := time.Now()
 	// The fallback also gets every outcome, so that its estimates are current
@@ -137,33 +137,9 @@
 	}
 }
 
-// brokers returns the daemons that may broker a pool, by descending rank. The
-// ranking is cached until a view with a new list of daemons is published.
+// brokers returns the daemons that may broker a pool, by descending rank.
 func (c *Client) brokers(pool PoolKey) []topo.Daemon {
-	daemons := c.views.View().Daemons
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if !sameSlice(daemons, c.daemons) {
-		c.daemons = daemons
-		clear(c.ranked)
-	}
-	ranked, known := c.ranked[pool]
-	if !known {
-		ranked = rankBrokers(pool, daemons)
-		c.ranked[pool] = ranked
-	}
-	return ranked
-}
-
-// sameSlice reports whether two slices have the same length and the same first
-// element in memory. It does not compare the elements.
-func sameSlice(a, b []topo.Daemon) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
-func rankBrokers(pool PoolKey, daemons []topo.Daemon) []topo.Daemon {
-	ranked := topo.RankDaemons(pool.rankingKey(), daemons)
-	return ranked[:min(len(ranked), maxRankedBrokers)]
+	return c.ranked.get(pool, pool.rankingKey(), c.views.View().Daemons, maxRankedBrokers)
 }
 
 func toReply(decision choose.Decision) AskReply {
--- a/slots/crash_test.go
+++ b/slots/crash_test.go
@@ -75,7 +75,7 @@
 	}})
 	granted, isGranted := decision.(choose.Granted)
 	return slots.ReleaseRequest{Pool: pool, Release: choose.Release{
-		Daemon: "front-1", Ticket: p.ticket, Server: granted.Server, Running: -1,
+		Daemon: "front-1", Ticket: p.ticket, Server: granted.Server, Born: granted.Born, Content: content, Running: -1,
 	}}, isGranted
 }
 
@@ -93,6 +93,7 @@
 	request.Release.Outcome = outcome
 	if outcome == choose.ConnectionLost && request.Release.Server != "" {
 		p.crashes++
+		request.Release.Loss = choose.LossEnded
 	}
 	p.broker.Release(p.now, request)
 }
@@ -113,7 +114,7 @@
 				p.others++
 				request, granted := p.ask(service, crashing+p.others)
 				if granted {
-					request.Release.Outcome = choose.ConnectionLost
+					request.Release.Outcome, request.Release.Loss = choose.ConnectionLost, choose.LossEnded
 					p.broker.Release(p.now, request)
 				}
 			}
--- /dev/null
+++ b/slots/crashes_test.go
@@ -0,0 +1,269 @@
+package slots_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"dandeliondoor/choose"
+	"dandeliondoor/crash"
+	"dandeliondoor/feed"
+	"dandeliondoor/kernel"
+	"dandeliondoor/logs"
+	"dandeliondoor/slots"
+	"dandeliondoor/topo"
+	"dandeliondoor/wire"
+)
+
+const crashWait = 5 * time.Second
+
+// crashFleet is a fleet whose daemons share what they know of requests that crash
+// servers. It is also their store, and shows its records to all of them at once.
+type crashFleet struct {
+	mutex   sync.Mutex
+	nodes   []*crashNode
+	daemons []topo.Daemon
+	records map[crash.Fingerprint]crash.Record
+	puts    int
+}
+
+// crashNode is one daemon of a crashFleet.
+type crashNode struct {
+	fleet   *crashFleet
+	daemon  topo.Daemon
+	broker  *slots.Broker
+	crashes *slots.Crashes
+	view    *feed.View
+	ticket  uint64
+}
+
+func (n *crashNode) Self() topo.Daemon { return n.daemon }
+
+func (n *crashNode) View() *feed.View {
+	n.fleet.mutex.Lock()
+	defer n.fleet.mutex.Unlock()
+	return n.view
+}
+
+// Put implements slots.CrashStore.
+func (f *crashFleet) Put(_ context.Context, fingerprint crash.Fingerprint, record crash.Record) error {
+	f.mutex.Lock()
+	f.puts++
+	f.records[fingerprint] = record
+	f.mutex.Unlock()
+	f.publish()
+	return nil
+}
+
+// Remove implements slots.CrashStore.
+func (f *crashFleet) Remove(_ context.Context, fingerprint crash.Fingerprint) error {
+	f.mutex.Lock()
+	delete(f.records, fingerprint)
+	f.mutex.Unlock()
+	f.publish()
+	return nil
+}
+
+// publish gives all daemons a view of the present records.
+func (f *crashFleet) publish() {
+	f.mutex.Lock()
+	nodes := f.nodes
+	for _, node := range nodes {
+		node.view = newView(f.daemons, newServer("i-1"), newServer("i-2"))
+		node.view.Crashes = maps.Clone(f.records)
+	}
+	f.mutex.Unlock()
+	for _, node := range nodes {
+		node.broker.SetView(time.Now(), node.View())
+	}
+}
+
+func newCrashFleet(t *testing.T, count int) *crashFleet {
+	t.Helper()
+	f := &crashFleet{records: make(map[crash.Fingerprint]crash.Record)}
+	for i := range count {
+		f.start(t, fmt.Sprintf("front-%d", i))
+	}
+	f.publish()
+	return f
+}
+
+// start adds a daemon, or replaces the one with the same name by a new process.
+func (f *crashFleet) start(t *testing.T, name string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peers := wire.NewPeers(&wire.Meter{})
+	node := &crashNode{fleet: f, ticket: uint64(time.Now().UnixNano())}
+	node.daemon = topo.Daemon{Name: name, Capacity: 1, Address: netip.MustParseAddrPort(listener.Addr().String())}
+	node.crashes = slots.NewCrashes(slots.WithFleet(node, peers, f), slots.WithCrashLog(logs.Discard().Part(slots.Name)))
+	node.broker = slots.NewBroker(limits, 1, slots.WithCrashes(node.crashes))
+	service := slots.NewService(node.broker)
+	server := wire.NewServer(&wire.Meter{})
+	server.Add(service.Receivers)
+	ctx, cancel := context.WithCancel(context.Background())
+	end, err := service.Start(ctx, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ends := []<-chan error{
+		end,
+		kernel.Run(ctx, func(ctx context.Context) error { return server.Serve(ctx, listener) }),
+		kernel.Run(ctx, peers.Run),
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, end := range ends {
+			if err := <-end; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	node.view = newView(nil)
+	f.nodes, f.daemons = slices.Clone(f.nodes), slices.Clone(f.daemons)
+	for i, old := range f.nodes {
+		if old.daemon.Name == name {
+			f.nodes[i], f.daemons[i] = node, node.daemon
+			return
+		}
+	}
+	f.nodes, f.daemons = append(f.nodes, node), append(f.daemons, node.daemon)
+}
+
+// lose reports, as the daemon that made the attempt, that a server ended.
+func (n *crashNode) lose(server string) choose.Release {
+	n.ticket++
+	release := choose.Release{
+		Daemon: n.daemon.Name, Ticket: n.ticket, Server: server, Born: 1, Content: crashing,
+		Outcome: choose.ConnectionLost, Loss: choose.LossEnded, Duration: 50 * time.Millisecond, Running: -1,
+	}
+	n.broker.Release(time.Now(), slots.ReleaseRequest{Release: release})
+	return release
+}
+
+// waitRefused waits until all daemons refuse the request, or none does.
+func (f *crashFleet) waitRefused(t *testing.T, refused bool) {
+	t.Helper()
+	for end := time.Now().Add(crashWait); ; time.Sleep(10 * time.Millisecond) {
+		wrong := 0
+		for _, node := range f.nodes {
+			if (node.crashes.Refused(time.Now(), crashing) > 0) != refused {
+				wrong++
+			}
+		}
+		if wrong == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("refused %t at %d of %d daemons", !refused, wrong, len(f.nodes))
+		}
+	}
+}
+
+// TestCrashesOfFleet guards against a request that goes on to crash servers because no
+// single process counted three of them (the incident BUDGET): each end is seen by
+// another daemon, or its process is replaced in between.
+func TestCrashesOfFleet(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		play func(t *testing.T, f *crashFleet)
+	}{
+		{name: "all daemons restart after two ends", play: func(t *testing.T, f *crashFleet) {
+			f.nodes[0].lose("i-1")
+			f.nodes[1].lose("i-2")
+			f.waitStored(t, 2)
+			for i := range f.nodes {
+				f.start(t, fmt.Sprintf("front-%d", i))
+			}
+			f.publish()
+			f.nodes[2].lose("i-1")
+		}},
+		{name: "daemon that counted restarts after each end", play: func(t *testing.T, f *crashFleet) {
+			for i := range 3 {
+				f.nodes[0].lose("i-1")
+				time.Sleep(200 * time.Millisecond)
+				if i < 2 {
+					f.start(t, "front-0")
+					f.publish()
+				}
+			}
+		}},
+		{name: "each end seen by another daemon", play: func(_ *testing.T, f *crashFleet) {
+			for i := range 3 {
+				f.nodes[i].lose("i-1")
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newCrashFleet(t, 6)
+			test.play(t, f)
+			f.waitRefused(t, true)
+		})
+	}
+}
+
+// waitStored waits until the record in the store has a number of ends.
+func (f *crashFleet) waitStored(t *testing.T, count int) {
+	t.Helper()
+	for end := time.Now().Add(crashWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		f.mutex.Lock()
+		stored := len(f.records[crashing].Ends)
+		f.mutex.Unlock()
+		if stored == count {
+			return
+		}
+	}
+	t.Fatalf("the store does not have %d ends", count)
+}
+
+// TestCrashesWithdrawn guards against callers that are refused although the servers
+// live: responses over older connections end the refusal on all daemons and in the
+// store. The process that gets them need not be the one that saw the ends.
+func TestCrashesWithdrawn(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 6)
+	for i := range 3 {
+		release := f.nodes[i].lose("i-1")
+		f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Release: release})
+	}
+	f.waitRefused(t, true)
+	time.Sleep(20 * time.Millisecond)
+	f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Release: choose.Release{
+		Daemon: "front-5", Ticket: 1, Server: "i-1", Born: 1, Content: crashing + 1, Outcome: choose.Served,
+		Duration: 10 * time.Millisecond, ConnAge: time.Minute, Running: -1,
+	}})
+	f.waitRefused(t, false)
+	f.waitStored(t, 0)
+}
+
+// TestSingleEndsNotStored checks that ends with other causes, one for each request, cost
+// no calls to the store.
+func TestSingleEndsNotStored(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 3)
+	for i := range 50 {
+		f.nodes[0].ticket++
+		f.nodes[0].broker.Release(time.Now(), slots.ReleaseRequest{Release: choose.Release{
+			Daemon: "front-0", Ticket: f.nodes[0].ticket, Server: "i-1", Born: 1, Content: crash.Fingerprint(100 + i),
+			Outcome: choose.ConnectionLost, Loss: choose.LossEnded, Running: -1,
+		}})
+	}
+	time.Sleep(time.Second)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.puts != 0 {
+		t.Errorf("%d calls to the store", f.puts)
+	}
+}
--- a/slots/message.go
+++ b/slots/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandeliondoor/choose"
+	"dandeliondoor/crash"
 	"dandeliondoor/topo"
 )
 
@@ -12,6 +13,7 @@
 	receiverName  = "Slots"
 	askMethod     = "Slots.Ask"
 	releaseMethod = "Slots.Release"
+	crashMethod   = "Slots.Crash"
 )
 
 // AskRequest is a request for a server of a pool.
@@ -43,6 +45,7 @@
 type Lease struct {
 	Pool     PoolKey
 	Server   topo.Server
+	Content  crash.Fingerprint
 	Ticket   uint64
 	Broker   topo.Daemon
 	Fallback bool
--- a/slots/service.go
+++ b/slots/service.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandeliondoor/crash"
 	"dandeliondoor/kernel"
 	"dandeliondoor/wire"
 )
@@ -21,6 +22,7 @@
 var (
 	_ kernel.Service = &Service{}
 	_ kernel.Drainer = &Service{}
+	_ kernel.Dumper  = &Service{}
 )
 
 // NewService returns a service for a broker.
@@ -29,15 +31,20 @@
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
-// Start waits for the end of the context. All work is done in the goroutines of
-// incoming RPCs.
+// Start stores what the fleet has to know of requests that crash servers, until the
+// context ends. All other work is done in the goroutines of incoming RPCs.
 func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) (<-chan error, error) {
-	return kernel.Run(ctx, func(ctx context.Context) error {
-		<-ctx.Done()
-		return nil
-	}), nil
+	return kernel.Run(ctx, s.broker.crashes.Run), nil
+}
+
+// State is the service's part of a state dump.
+type State struct {
+	Refused []RefusedRequest `yaml:"refused"`
 }
 
+// Dump returns the current state.
+func (s *Service) Dump(now time.Time) any { return State{Refused: s.broker.crashes.Dump(now)} }
+
 // Drain makes the replies to further asks Unable, so that other daemons ask the
 // next broker.
 func (s *Service) Drain(context.Context) error {
@@ -68,3 +75,9 @@
 	r.service.broker.Release(time.Now(), request)
 	return nil
 }
+
+// Crash receives what another daemon learned of a request that may crash servers.
+func (r *receiver) Crash(report crash.Report, _ *Empty) error {
+	r.service.broker.crashes.Receive(time.Now(), report)
+	return nil
+}
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -62,6 +62,7 @@
 type Conn struct {
 	conn       net.Conn
 	target     Target
+	openedAt   time.Time
 	received   *boundedReader
 	reader     *bufio.Reader
 	sent       sendState
@@ -78,6 +79,7 @@
 	return &Conn{
 		conn:      conn,
 		target:    target,
+		openedAt:  time.Now(),
 		received:  received,
 		reader:    bufio.NewReaderSize(received, bufferSize),
 		lastUsed:  time.Now(),
@@ -88,6 +90,9 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.conn.Close() }
 
+// Age returns the time since the connection was opened.
+func (c *Conn) Age(now time.Time) time.Duration { return now.Sub(c.openedAt) }
+
 func (c *Conn) expiresAt() time.Time { return c.lastUsed.Add(c.keepAlive) }
 
 // usable reports whether an idle connection hasn't expired and the upstream has
--- a/upconn/errors.go
+++ b/upconn/errors.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
+	"syscall"
+
+	"github.com/go-faster/errors"
 )
 
 // DialError reports that no connection could be opened, so no part of the request
@@ -32,3 +36,13 @@
 
 // Unwrap returns the cause.
 func (e *ConnError) Unwrap() error { return e.Err }
+
+// Ended reports whether the upstream ended the connection, as one that crashes does.
+func (e *ConnError) Ended() bool {
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(e.Err, target) {
+			return true
+		}
+	}
+	return false
+}
