upconn, platform: a repeated refusal without an ID belongs to no later request

What callers would see: 'not run, try again' for a request that a server had run or was running, or such a request at a second server (report of another operator: a faulty server wrote an earlier refusal once more on a kept connection). It could happen here: a response without a request ID was accepted for any request, and a refusal that came before the request was sent is noticed, but one that came after it was not.

TestRepeatedRefusal failed for 421, 429 and 503 without an ID (status of the refusal instead of 200) and passed for one with the ID of its request. Now a response without an ID counts only as the first one on its connection, where none can be repeated; later ones are skipped, as those with another ID are.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -47,7 +47,7 @@
 		Header:  header,
 		Body:    e.body.reader(),
 		Length:  e.body.length,
-		Matches: func(header http.Header) bool { return dialect.MatchesRequest(header, e.id) },
+		Matches: func(header http.Header, first bool) bool { return dialect.MatchesRequest(header, e.id, first) },
 	}
 }
 
--- a/proto/dialect.go
+++ b/proto/dialect.go
@@ -16,8 +16,9 @@
 	// SetRequestHeaders sets the remaining time and the intended upstream of a
 	// request.
 	SetRequestHeaders(header http.Header, remaining time.Duration, upstream string)
-	// MatchesRequest reports whether a response belongs to the request with the ID.
-	MatchesRequest(header http.Header, id string) bool
+	// MatchesRequest reports whether a response belongs to the request with the ID;
+	// first is set for the first response on its connection.
+	MatchesRequest(header http.Header, id string, first bool) bool
 	// ParseReport returns the information about an upstream that its response carries.
 	ParseReport(status int, header http.Header) Report
 }
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -47,7 +47,8 @@
 // Request is a request to an upstream. Header is sent as it is and must not contain
 // framing headers, which are derived from Length. A negative Length selects
 // chunked encoding. Matches reports whether a response with the given header
-// belongs to this request.
+// belongs to this request; first is set for the first response on the connection, which
+// cannot belong to an earlier request.
 type Request struct {
 	Method  string
 	Target  string
@@ -55,7 +56,7 @@
 	Header  http.Header
 	Body    io.Reader
 	Length  int64
-	Matches func(header http.Header) bool
+	Matches func(header http.Header, first bool) bool
 }
 
 // Conn is a connection to an upstream.
@@ -203,7 +204,7 @@
 			if interim++; interim > maxInterim {
 				return nil, errInterim
 			}
-		case request.Matches(response.Header):
+		case request.Matches(response.Header, c.requests == 1 && unmatched == 0):
 			c.received.unlimit()
 			return response, nil
 		default:
--- a/upconn/conn_test.go
+++ b/upconn/conn_test.go
@@ -73,7 +73,7 @@
 	response, err := conn.Do(ctx, &upconn.Request{
 		Method: http.MethodPost, Target: "/bales", Host: "souk.example",
 		Header: http.Header{idHeader: {id}}, Body: strings.NewReader("lot=12"), Length: 6,
-		Matches: func(header http.Header) bool { return header.Get(idHeader) == id },
+		Matches: func(header http.Header, _ bool) bool { return header.Get(idHeader) == id },
 	})
 	if err != nil {
 		conn.Close()
@@ -294,7 +294,7 @@
 		response, err := conn.Do(context.Background(), &upconn.Request{
 			Method: http.MethodPost, Target: "/bales", Host: "souk.example", Header: http.Header{},
 			Body: strings.NewReader(strings.Repeat("x", size)), Length: size,
-			Matches: func(http.Header) bool { return true },
+			Matches: func(http.Header, bool) bool { return true },
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/upconn/endless_test.go
+++ b/upconn/endless_test.go
@@ -130,7 +130,7 @@
 	_, err = conn.Do(context.Background(), &upconn.Request{
 		Method: http.MethodPost, Target: "/bales", Host: "souk.example", Header: http.Header{},
 		Body: strings.NewReader(strings.Repeat("x", int(length))), Length: length,
-		Matches: func(http.Header) bool { return true },
+		Matches: func(http.Header, bool) bool { return true },
 	})
 	return err
 }
