choose, front, platform: heed Server-Leaving and Retry-After of servers

choose.Holds keeps the wish of each start of a server at the daemon that got it, and the daemon excludes these servers in each ask, so that brokers, parts and the fallback agree; the broker takes a leaving server out for all daemons. 429 with Retry-After is treated as 503 is; a response of another server at the address says nothing. With no server left a request is refused at once, with the time until the first one wants requests. TestFrontServerLeaving, TestFrontRetryAfter, TestHolds, TestLeavingServer, TestParseReport.

--- /dev/null
+++ b/choose/holds_test.go
@@ -0,0 +1,84 @@
+package choose_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"dandeliondoor/choose"
+	"dandeliondoor/topo"
+)
+
+// TestHolds guards against requests to a server that asked this daemon for none, because
+// it leaves or turned a request away for a while.
+func TestHolds(t *testing.T) {
+	t.Parallel()
+	server := topo.Server{ID: "i-1", Born: 1}
+	restarted := topo.Server{ID: "i-1", Born: 2}
+	for _, test := range []struct {
+		name   string
+		play   func(holds *choose.Holds, now time.Time)
+		after  time.Duration
+		listed topo.Server
+		held   bool
+	}{
+		{name: "another start", listed: restarted, play: func(holds *choose.Holds, now time.Time) { holds.Leave(now, server) }},
+		{name: "leaving", after: 5 * time.Hour, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
+			holds.Leave(now, server)
+			for i := range 50 {
+				holds.Held(now.Add(time.Duration(i)*6*time.Minute), map[string]topo.Server{server.ID: server})
+			}
+			holds.Pause(now.Add(5*time.Hour), topo.Server{ID: "i-2"}, time.Second)
+		}},
+		{name: "leaving, not listed for a while", after: time.Minute, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
+			holds.Leave(now, server)
+			holds.Held(now.Add(time.Second), nil)
+		}},
+		{name: "longer pause first", after: 3 * time.Second, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
+			holds.Pause(now, server, 4*time.Second)
+			holds.Pause(now.Add(time.Second), server, time.Second)
+		}},
+		{name: "pause", after: 1900 * time.Millisecond, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
+			holds.Pause(now, server, 2*time.Second)
+		}},
+		{name: "pause over", after: 2 * time.Second, listed: server, play: func(holds *choose.Holds, now time.Time) {
+			holds.Pause(now, server, 2*time.Second)
+		}},
+		{name: "pause within a leave", after: 3 * time.Second, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
+			holds.Leave(now, server)
+			holds.Pause(now, server, 2*time.Second)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			holds := choose.NewHolds()
+			now := time.Now()
+			test.play(holds, now)
+			held := holds.Held(now.Add(test.after), map[string]topo.Server{test.listed.ID: test.listed})
+			if slices.Contains(held, test.listed.ID) != test.held {
+				t.Errorf("held servers %v, want i-1 among them: %t", held, test.held)
+			}
+		})
+	}
+}
+
+// TestLeavingServer guards against requests of other daemons to a server that told one
+// of them that it leaves: the broker must not choose it until it has restarted.
+func TestLeavingServer(t *testing.T) {
+	t.Parallel()
+	f := newFixture(2)
+	granted, isGranted := f.ask(func(*choose.Ask) {}).(choose.Granted)
+	if !isGranted {
+		t.Fatal("no server")
+	}
+	f.pool.Release(f.now, choose.Release{
+		Daemon: "front-1", Ticket: f.ticket, Server: granted.Server, Born: granted.Born, Outcome: choose.Served, Leaving: true, Running: -1,
+	})
+	for range 20 {
+		next, isGranted := f.ask(func(*choose.Ask) {}).(choose.Granted)
+		if isGranted && next.Server == granted.Server {
+			t.Fatal("a leaving server gets a request")
+		}
+		f.now = f.now.Add(200 * time.Millisecond)
+	}
+}
--- a/choose/message.go
+++ b/choose/message.go
@@ -109,6 +109,7 @@
 // Release reports the end of an attempt. Running and Waiting are the server's own
 // counts of requests; Running is negative if it sent none. Born and Content are those of
 // the lease. ConnAge is the time since the connection was opened, 0 if there was none.
+// Leaving means that the server wants no further requests.
 type Release struct {
 	Daemon   string
 	Ticket   uint64
@@ -119,6 +120,7 @@
 	Loss     Loss
 	Duration time.Duration
 	ConnAge  time.Duration
+	Leaving  bool
 	Running  int
 	Waiting  int
 }
--- a/choose/pool.go
+++ b/choose/pool.go
@@ -143,7 +143,7 @@
 	var candidates []*server
 	for _, s := range p.sorted {
 		s.expire(now)
-		if !s.Draining && !slices.Contains(ask.Exclude, s.ID) {
+		if s.usable(ask) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -286,7 +286,7 @@
 func (p *Pool) refusal(now time.Time, ask Ask) Decision {
 	lowest := time.Duration(0)
 	for _, s := range p.sorted {
-		if s.Draining || slices.Contains(ask.Exclude, s.ID) {
+		if !s.usable(ask) {
 			continue
 		}
 		wait := time.Duration(float64(p.meanDuration(ask.Route)) * float64(max(s.load(now)-s.Slots, 1)) / float64(s.Slots))
@@ -322,6 +322,7 @@
 	}
 	ended, found := s.removeAttempt(release.Daemon, release.Ticket)
 	s.updateLoad(now, release.Running, release.Waiting)
+	s.leaving = s.leaving || (release.Leaving && release.Born == s.Born)
 	p.recordOutcome(now, s, release, ended.route, found)
 }
 
--- a/choose/server.go
+++ b/choose/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"dandeliondoor/crash"
@@ -41,7 +42,7 @@
 
 // server is the state of one server. DurationFactor is its mean duration relative
 // to that of all servers, and otherLoad the load reported by the server beyond
-// the attempts known here.
+// the attempts known here. Leaving is set once the server itself has said so.
 type server struct {
 	topo.Server
 
@@ -54,6 +55,7 @@
 	lastResponseAt time.Time
 	lastAssignedAt time.Time
 	lastDaemon     string
+	leaving        bool
 	tally          outcomeTally
 }
 
@@ -100,6 +102,11 @@
 	return &server{Server: record, health: healthEstimate{unhealthy: unhealthyShare, updatedAt: now}, durationFactor: 1}
 }
 
+// usable reports whether a request may be sent to the server.
+func (s *server) usable(ask Ask) bool {
+	return !s.Draining && !s.leaving && !slices.Contains(ask.Exclude, s.ID)
+}
+
 // load returns the estimated number of requests that the server runs or queues:
 // the attempts known here, plus those that its own recent count adds.
 func (s *server) load(now time.Time) int {
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -26,19 +26,22 @@
 // 500, Mute responds with 503 but without the header that says that the request did
 // not run, Unsigned omits the signature, and Foreign first sends the response to
 // another request. EndlessHead sends header lines and EndlessBody a body without end,
-// until the connection is closed. Work is how long a request runs, and Size is the minimum length
-// of the response body in bytes.
+// until the connection is closed. Leaving announces in each response that the server
+// leaves. RetryAfter is what Shed tells callers to wait. Work is how long a request runs,
+// and Size is the minimum length of the response body in bytes.
 type ServerFaults struct {
 	Cut         bool
 	EndlessBody bool
 	EndlessHead bool
 	Fail        bool
 	Foreign     bool
+	Leaving     bool
 	Moved       bool
 	Mute        bool
 	Shed        bool
 	Short       bool
 	Unsigned    bool
+	RetryAfter  time.Duration
 	Size        int
 	Work        time.Duration
 }
@@ -76,6 +79,8 @@
 	}
 }
 
+const bits64 = 64
+
 // serverSlots is the number of concurrent requests that a server reports as its limit.
 const serverSlots = 3
 
@@ -126,6 +131,9 @@
 	faults := s.Faults.Get()
 	header := w.Header()
 	header.Set(proto.HeaderRequestID, id)
+	if faults.Leaving {
+		header.Set(platform.HeaderLeaving, "1")
+	}
 	header.Set(platform.HeaderLoad, fmt.Sprintf("%d,0,%d", s.addRunning(0), serverSlots))
 	switch expected := r.Header.Get(platform.HeaderInstance); {
 	case (expected != "" && expected != s.id) || faults.Moved:
@@ -133,6 +141,9 @@
 		return
 	case faults.Shed:
 		header.Set(platform.HeaderNotRun, "1")
+		if faults.RetryAfter > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(faults.RetryAfter.Seconds(), 'f', -1, bits64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -200,9 +200,10 @@
 }
 
 // release returns a lease with the end of its attempt and records whether the server
-// was reachable.
+// was reachable and what it asked for.
 func (h *Handler) release(lease *slots.Lease, release choose.Release, report proto.Report) {
 	h.recordReachability(lease.Server.ID, release.Outcome)
-	release.Running, release.Waiting = report.Running, report.Waiting
+	h.recordWishes(lease, report)
+	release.Running, release.Waiting, release.Leaving = report.Running, report.Waiting, report.Leaving
 	h.slots.Release(lease, release)
 }
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -115,6 +115,9 @@
 			e.history.tried = append(e.history.tried, unusable.Server)
 		case errors.As(err, &refused):
 			e.lastRefusal = refused.Refused
+			if refused.Reason == choose.ReasonNoServer {
+				e.lastRefusal.RetryAfter = max(refused.RetryAfter, h.nextServer(e.service))
+			}
 		}
 		if ctx.Err() != nil || slotRequests == maxSlotRequests || isFinal(refused) || (refused != nil && !time.Now().Before(waitUntil)) {
 			return false
@@ -149,7 +152,7 @@
 		Priority:  e.route.Priority,
 		Objective: e.route.Objective,
 		Left:      time.Until(e.deadline),
-		Exclude:   e.history.excluded(h.unreachableServers()),
+		Exclude:   e.history.excluded(h.avoidedServers()),
 		Repeat:    e.history.sends > 0,
 		Content:   e.fingerprint,
 		Probe:     e.route.Idempotent && e.body.resendable() && e.history.sends+1 < e.history.maxSends,
--- a/proto/dialect.go
+++ b/proto/dialect.go
@@ -27,11 +27,15 @@
 // means that the upstream's service generated the response, NotRun that the request
 // did not run, and Misdirected that another upstream than the intended one now has
 // the address. Running and Waiting are the numbers of requests that run and wait on
-// the upstream, or negative if the response does not contain them.
+// the upstream, or negative if the response does not contain them. Leaving means that the
+// upstream wants no further requests, and RetryAfter for how long it wants none from
+// this daemon.
 type Report struct {
 	Signed      bool
 	NotRun      bool
 	Misdirected bool
+	Leaving     bool
+	RetryAfter  time.Duration
 	Running     int
 	Waiting     int
 }
