slots, feed, topo: keep what is known when a service is divided or united

Now the daemon that reads the store decides and passes the number on with the view, so that all agree; it changes only above 200 and below 50 servers a part, so a service around 200 is divided once. A broker's new pools take over servers, attempts, durations and their share of the retry budget from the old ones, which still take releases. Parts are ranked by their number alone, so that one half of the servers keeps its broker.

Not covered: the broker of the other half starts without knowledge.

--- a/choose/budget.go
+++ b/choose/budget.go
@@ -65,6 +65,16 @@
 	b.buckets[b.current].retries--
 }
 
+// Adopt adds a share of what another budget with the same window has counted.
+func (b *RetryBudget) Adopt(now time.Time, other *RetryBudget, share float64) {
+	b.advance(now)
+	other.advance(now)
+	for _, bucket := range other.buckets {
+		b.buckets[b.current].requests += share * bucket.requests
+		b.buckets[b.current].retries += share * bucket.retries
+	}
+}
+
 // advance moves the window to the present time and clears expired buckets.
 func (b *RetryBudget) advance(now time.Time) {
 	bucketLength := b.limits.Window / budgetBuckets
--- a/choose/pool.go
+++ b/choose/pool.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,6 +76,16 @@
 // SetLimits replaces the retry limits.
 func (p *Pool) SetLimits(limits RetryLimits) { p.budget.limits = limits }
 
+// Adopt takes over what another pool of the service knows of its servers, and a share
+// of its retry budget. The other pool may still release its attempts, but must not
+// choose any more. SetServers must be called afterwards.
+func (p *Pool) Adopt(now time.Time, other *Pool, budgetShare float64) {
+	maps.Copy(p.servers, other.servers)
+	maps.Copy(p.meanDurations, other.meanDurations)
+	p.unhealthyShare = other.unhealthyShare
+	p.budget.Adopt(now, other.budget, budgetShare)
+}
+
 // SetServers replaces the servers of the service. What is known of a server is
 // discarded if it restarted or changed its address.
 func (p *Pool) SetServers(now time.Time, records []topo.Server) {
--- a/feed/message.go
+++ b/feed/message.go
@@ -45,7 +45,7 @@
 // and Path lists the daemons that passed the data on, the replying daemon last. Known is set once the replying daemon
 // has a configuration and a list of servers. Unfit is set if the replying daemon
 // is stopping or gets its view from the follower. Without Known, or with Unfit,
-// no data is sent. Snapshot replaces the tables and the configuration if all are sent.
+// no data is sent. Parts is View.Parts. Snapshot replaces the tables and the configuration if all are sent.
 type FollowReply struct {
 	Incarnation     uint64
 	Age             time.Duration
@@ -63,6 +63,7 @@
 	Crashes         []topo.Change[crash.Record]
 	CrashesComplete bool
 	CrashesRev      uint64
+	Parts           map[string]int
 	Snapshot        []byte
 }
 
--- a/feed/receiver.go
+++ b/feed/receiver.go
@@ -87,6 +87,7 @@
 		ServersRev:  state.servers.Rev(),
 		DaemonsRev:  state.daemons.Rev(),
 		CrashesRev:  state.crashes.Rev(),
+		Parts:       state.parts,
 	}
 	switch {
 	case reply.Unfit:
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -711,3 +711,29 @@
 		z.waitFor(t, i, "removal", knows(0))
 	}
 }
+
+// TestPartsAgree guards against daemons that divide a service into different numbers of
+// parts: all use the number that the reader of the store decided on, which stays while
+// the service shrinks a little, also one that is started then.
+func TestPartsAgree(t *testing.T) {
+	t.Parallel()
+	z := newZone(t, 3)
+	const many, fewer = topo.MaxPartServers + 5, topo.MaxPartServers - 20
+	id := func(i int) string { return fmt.Sprintf("s-%d", i) }
+	for i := range many {
+		z.servers.put(id(i), topo.Server{ID: id(i), Service: "souk", Slots: 3})
+	}
+	divided := func(servers int) func(view *feed.View) bool {
+		return func(view *feed.View) bool { return len(view.Servers) == servers && view.PartCount("souk") == 2 }
+	}
+	for i := range z.feeds {
+		z.waitFor(t, i, "two parts", divided(many+2))
+	}
+	for i := fewer; i < many; i++ {
+		z.servers.remove(id(i))
+	}
+	z.start(t, len(z.feeds))
+	for i := range z.feeds {
+		z.waitFor(t, i, "two parts of fewer servers", divided(fewer+2))
+	}
+}
--- a/feed/source.go
+++ b/feed/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -242,7 +243,8 @@
 		// No list is sent if the checksums match, as they do for two empty tables.
 		changed = changed || !state.serversKnown
 		state.serversKnown = true
-		state.freshAt, state.path = confirmedAt, reply.Path
+		changed = changed || !maps.Equal(state.parts, reply.Parts)
+		state.freshAt, state.path, state.parts = confirmedAt, reply.Path, reply.Parts
 		return changed
 	})
 	s.mutex.Lock()
--- a/feed/view.go
+++ b/feed/view.go
@@ -16,11 +16,13 @@
 // store last confirmed the servers. RenewedAt is when this daemon last got a
 // fresh view after having an old one (see renewedFactor) or none; the
 // configuration may arrive slightly later. Services groups the servers by
-// service. Crashes contains the requests that have ended several servers.
+// service, and Parts is the number of parts of those that have several. Crashes contains
+// the requests that have ended several servers.
 type View struct {
 	Table     *topo.RouteTable
 	Servers   map[string]topo.Server
 	Services  map[string][]topo.Server
+	Parts     map[string]int
 	Daemons   []topo.Daemon
 	Crashes   map[crash.Fingerprint]crash.Record
 	FreshAt   time.Time
@@ -30,6 +32,26 @@
 // Ready reports whether the view is sufficient to serve requests.
 func (v *View) Ready() bool { return v.Table != nil && v.Servers != nil }
 
+// PartCount returns the number of parts into which the servers of a service are divided.
+func (v *View) PartCount(service string) int {
+	if parts, several := v.Parts[service]; several {
+		return parts
+	}
+	return topo.PartCount(1, len(v.Services[service]))
+}
+
+// nextParts returns the numbers of parts of the services that have several, given the
+// present ones.
+func nextParts(current map[string]int, services map[string][]topo.Server) map[string]int {
+	next := make(map[string]int)
+	for service, servers := range services {
+		if parts := topo.PartCount(current[service], len(servers)); parts > 1 {
+			next[service] = parts
+		}
+	}
+	return next
+}
+
 // state collects the data from the store or another daemon. Path lists the
 // daemons that passed it on; it is empty if the data comes from the store.
 type state struct {
@@ -37,6 +59,7 @@
 	servers      *topo.VersionedTable[topo.Server]
 	daemons      *topo.VersionedTable[topo.Daemon]
 	crashes      *topo.VersionedTable[crash.Record]
+	parts        map[string]int
 	serversKnown bool
 	freshAt      time.Time
 	renewedAt    time.Time
@@ -147,6 +170,11 @@
 			v.Services[server.Service] = append(v.Services[server.Service], server)
 		})
 	}
+	if len(s.path) == 0 {
+		// The daemon that reads the store decides for all.
+		s.parts = nextParts(s.parts, v.Services)
+	}
+	v.Parts = s.parts
 	s.daemons.Each(func(_ string, daemon topo.Daemon) { v.Daemons = append(v.Daemons, daemon) })
 	v.Crashes = make(map[crash.Fingerprint]crash.Record)
 	s.crashes.Each(func(key string, record crash.Record) {
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,11 +17,23 @@
 	fallback bool
 	crashes  *Crashes
 
-	mutex sync.Mutex
-	view  *feed.View
-	pools map[PoolKey]*choose.Pool
+	mutex   sync.Mutex
+	view    *feed.View
+	pools   map[PoolKey]*choose.Pool
+	retired []retiredPool
 }
 
+// retiredPool is a pool of a service whose number of parts has changed. Its attempts
+// are still released, and the pools of the new parts take over what it knows.
+type retiredPool struct {
+	key  PoolKey
+	pool *choose.Pool
+	at   time.Time
+}
+
+// retiredPeriod is how long a pool is kept after the number of parts has changed.
+const retiredPeriod = 30 * time.Second
+
 // BrokerOption configures a Broker.
 type BrokerOption func(*Broker)
 
@@ -59,7 +72,7 @@
 	}
 }
 
-// SetView replaces the view of the servers. It drops the pools of services whose
+// SetView replaces the view of the servers. It retires the pools of services whose
 // number of parts has changed.
 func (b *Broker) SetView(now time.Time, view *feed.View) {
 	if !b.fallback {
@@ -70,13 +83,15 @@
 	b.view = view
 	for key, pool := range b.pools {
 		servers := view.Services[key.Service]
-		if key.Parts != PartCount(len(servers)) {
+		if key.Parts != view.PartCount(key.Service) {
+			b.retired = append(b.retired, retiredPool{key: key, pool: pool, at: now})
 			delete(b.pools, key)
 			continue
 		}
 		pool.SetServers(now, key.servers(servers))
 		pool.SetLimits(b.poolLimits(key))
 	}
+	b.retired = slices.DeleteFunc(b.retired, func(r retiredPool) bool { return now.Sub(r.at) > retiredPeriod })
 }
 
 // HasServers reports whether the view has any server of a service.
@@ -102,19 +117,30 @@
 	return pool.Choose(now, request.Ask)
 }
 
-// Release ends an attempt. It ignores attempts of pools that don't exist, such as
-// those that SetView dropped, except for what they say of crashes.
+// Release ends an attempt. It ignores attempts of pools that don't exist, except for
+// what they say of crashes.
 func (b *Broker) Release(now time.Time, request ReleaseRequest) {
 	b.crashes.Released(now, request.Release)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if pool, known := b.pools[request.Pool]; known {
 		pool.Release(now, request.Release)
+		return
+	}
+	for _, retired := range b.retired {
+		if retired.key == request.Pool {
+			retired.pool.Release(now, request.Release)
+		}
 	}
 }
 
 func (b *Broker) newPool(now time.Time, key PoolKey) *choose.Pool {
 	pool := choose.NewPool(now, b.seed^rank.Score(key.rankingKey(), receiverName), b.poolLimits(key))
+	for _, retired := range b.retired {
+		if retired.key.Service == key.Service {
+			pool.Adopt(now, retired.pool, min(float64(retired.key.Parts)/float64(key.Parts), 1))
+		}
+	}
 	pool.SetServers(now, key.servers(b.view.Services[key.Service]))
 	return pool
 }
--- a/slots/broker_test.go
+++ b/slots/broker_test.go
@@ -72,7 +72,7 @@
 	for i := range after {
 		servers = append(servers, newServer(fmt.Sprintf("i-%d", i)))
 	}
-	key := slots.PoolKey{Service: service, Parts: slots.PartCount(after)}
+	key := slots.PoolKey{Service: service, Parts: topo.PartCount(1, after)}
 	members := newView(nil, servers...)
 	broker := slots.NewBroker(choose.RetryLimits{Window: time.Second}, 1)
 	broker.SetView(time.Now(), members)
@@ -81,7 +81,7 @@
 	failing, healthy := part[0], part[1]
 	now := time.Now()
 	broker.SetView(now, newView(nil, servers[:before]...))
-	old := slots.PoolKey{Service: service, Parts: slots.PartCount(before)}
+	old := slots.PoolKey{Service: service, Parts: topo.PartCount(1, before)}
 	for range 3 {
 		runOn(t, broker, old, now, others(servers, failing), choose.Failed)
 		runOn(t, broker, old, now, others(servers, healthy), choose.Served)
--- a/slots/client.go
+++ b/slots/client.go
@@ -60,7 +60,7 @@
 	}
 	ask.Daemon = c.views.Self().Name
 	ask.Ticket = c.ticket.Add(1)
-	pool := newPoolKey(service, len(c.views.View().Services[service]), ask.Content, refusals)
+	pool := newPoolKey(service, c.views.View().PartCount(service), ask.Content, refusals)
 	request := AskRequest{Pool: pool, Ask: ask}
 	asked := 0
 	for _, daemon := range c.brokers(pool) {
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -188,7 +188,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			if parts := slots.PartCount(test.servers); parts != test.parts {
+			if parts := topo.PartCount(1, test.servers); parts != test.parts {
 				t.Fatalf("%d parts, want %d", parts, test.parts)
 			}
 			var servers []topo.Server
--- a/slots/crash_test.go
+++ b/slots/crash_test.go
@@ -69,7 +69,7 @@
 // ask asks for a server for a fingerprint and reports whether one was granted.
 func (p *crashPlay) ask(of string, content crash.Fingerprint) (slots.ReleaseRequest, bool) {
 	p.ticket++
-	pool := slots.PoolKey{Service: of, Parts: slots.PartCount(len(p.servers) / 2)}
+	pool := slots.PoolKey{Service: of, Parts: topo.PartCount(1, len(p.servers)/2)}
 	decision := p.broker.Ask(p.now, slots.AskRequest{Pool: pool, Ask: choose.Ask{
 		Daemon: "front-1", Ticket: p.ticket, Objective: time.Second, Left: time.Second, Content: content,
 	}})
--- a/slots/part.go
+++ b/slots/part.go
@@ -8,11 +8,6 @@
 	"dandeliondoor/topo"
 )
 
-// maxPartServers is the maximum number of servers in a part. A decision examines
-// each of them, which takes about 10 µs for 200, and the load of asks on one
-// daemon has to stay small however large a service is.
-const maxPartServers = 200
-
 // PoolKey identifies a part of a service's servers, which has one broker. Part
 // ranges from 0 to Parts - 1.
 type PoolKey struct {
@@ -21,31 +16,21 @@
 	Parts   int
 }
 
-// PartCount returns the number of parts for a number of servers. It is a power of
-// two, so that it rarely changes as servers are added and removed.
-func PartCount(servers int) int {
-	parts := 1
-	for servers > parts*maxPartServers {
-		parts *= 2
-	}
-	return parts
-}
-
 // newPoolKey returns the part that handles a request fingerprint. It is the same
 // for each attempt, so that one pool sees all lost connections of a fingerprint,
 // except that each refusal moves on to the next part.
-func newPoolKey(service string, servers int, content crash.Fingerprint, refusals int) PoolKey {
-	parts := PartCount(servers)
+func newPoolKey(service string, parts int, content crash.Fingerprint, refusals int) PoolKey {
 	part := (uint64(content) + uint64(refusals)) % uint64(parts)
 	return PoolKey{Service: service, Part: int(part), Parts: parts}
 }
 
-// rankingKey returns the key for which daemons are ranked as brokers of the part.
+// rankingKey returns the key for which daemons are ranked as brokers of the part. When a
+// part is divided, one half of its servers keeps its broker, as parts are powers of two.
 func (k PoolKey) rankingKey() string {
-	if k.Parts == 1 {
+	if k.Part == 0 {
 		return k.Service
 	}
-	return fmt.Sprintf("%s/%d/%d", k.Service, k.Part, k.Parts)
+	return fmt.Sprintf("%s/%d", k.Service, k.Part)
 }
 
 // servers filters the servers of a service to those that belong to the part.
