soak: requests that crash servers, servers that leave or want no requests

Half of the unplanned rounds send a request that crashes the servers that run it to the daemons in turn; a crashed server is down for 1.5 s and returns under its ID with a new start. Checked: later than 3 s after the third crash it may reach servers in three retries, in rounds that cut or pause no daemon and leave the store alone; restarts and kills of daemons count. One round in four has a server that announces its end, or turns requests away with Retry-After. The draws of older seeds stay the same.

--- a/fakes/link.go
+++ b/fakes/link.go
@@ -16,8 +16,10 @@
 )
 
 // LinkFaults selects the faults of a network path. The soak prints the field names.
-// Forward is the direction from the dialer to the target.
+// Forward is the direction from the dialer to the target. Refuse closes new connections
+// at once.
 type LinkFaults struct {
+	Refuse       bool          `json:"refuse,optional"`
 	DropForward  bool          `json:"drop_forward,optional"`
 	DropBackward bool          `json:"drop_backward,optional"`
 	Delay        time.Duration `json:"delay,optional"`
@@ -81,6 +83,9 @@
 
 func (l *Link) proxy(ctx context.Context, inbound net.Conn) {
 	defer inbound.Close()
+	if l.Faults.Get().Refuse {
+		return
+	}
 	outbound, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.target.String())
 	if err != nil {
 		return
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -81,6 +81,9 @@
 
 const bits64 = 64
 
+// ID returns the server's ID.
+func (s *Server) ID() string { return s.id }
+
 // serverSlots is the number of concurrent requests that a server reports as its limit.
 const serverSlots = 3
 
@@ -88,10 +91,10 @@
 func (s *Server) Register(store *Store, draining bool) error {
 	s.mutex.Lock()
 	s.sequence++
-	sequence := s.sequence
+	sequence, born := s.sequence, s.born
 	s.mutex.Unlock()
 	data, err := platform.EncodeServer(topo.Server{
-		Service: s.service, Address: s.address, Zone: s.zone, Slots: serverSlots, Draining: draining, Born: s.born,
+		Service: s.service, Address: s.address, Zone: s.zone, Slots: serverSlots, Draining: draining, Born: born,
 	}, sequence)
 	if err != nil {
 		return err
@@ -100,6 +103,14 @@
 	return nil
 }
 
+// Restart makes the server another incarnation under the same ID. Register shows it.
+func (s *Server) Restart() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.born++
+	s.sequence = 0
+}
+
 // Leave deletes the server's registration from the store.
 func (s *Server) Leave(store *Store) { store.Put(platform.ServerTopic, s.id, nil) }
 
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -14,6 +14,8 @@
 	case CompactStore:
 		f.store.Compact(serverTopic)
 		f.store.Compact(configTopic)
+	case CrashRequests:
+		return f.sendCrashing(ctx)
 	case CutDaemon:
 		f.daemons[fault.Daemon].peersLink.Faults.Set(fault.Faults)
 	case CutStore:
@@ -52,9 +54,14 @@
 		clearLinkFaults(d.peersLink)
 	}
 	for _, s := range f.servers {
+		// A server that leaves does so until it is started anew.
+		leaving := s.Faults.Get().Leaving
 		s.Faults.Set(fakes.ServerFaults{})
 		clearLinkFaults(s.link)
-		if s.drainStart.IsZero() {
+		if leaving {
+			s.Restart()
+		}
+		if s.drainStart.IsZero() && !leaving {
 			continue
 		}
 		s.drainStart = time.Time{}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -19,6 +19,9 @@
 type (
 	// CompactStore deletes all records of the store except the newest of each key.
 	CompactStore struct{}
+	// CrashRequests sends a request that crashes the servers that run it to the daemons in
+	// turn, for the rest of the round.
+	CrashRequests struct{}
 	// CutDaemon injects faults into the network path from the other daemons to a daemon.
 	CutDaemon struct {
 		Daemon int
@@ -62,18 +65,19 @@
 	}
 )
 
-func (CompactStore) isFault() {}
-func (CutDaemon) isFault()    {}
-func (CutStore) isFault()     {}
-func (DrainServer) isFault()  {}
-func (Pause) isFault()        {}
-func (Publish) isFault()      {}
-func (ResetLinks) isFault()   {}
-func (Restart) isFault()      {}
-func (SickServer) isFault()   {}
-func (SickService) isFault()  {}
-func (SickStore) isFault()    {}
-func (SlowServer) isFault()   {}
+func (CompactStore) isFault()  {}
+func (CrashRequests) isFault() {}
+func (CutDaemon) isFault()     {}
+func (CutStore) isFault()      {}
+func (DrainServer) isFault()   {}
+func (Pause) isFault()         {}
+func (Publish) isFault()       {}
+func (ResetLinks) isFault()    {}
+func (Restart) isFault()       {}
+func (SickServer) isFault()    {}
+func (SickService) isFault()   {}
+func (SickStore) isFault()     {}
+func (SlowServer) isFault()    {}
 
 // event is a fault and its delay from the start of the round.
 type event struct {
@@ -183,6 +187,27 @@
 	}}
 }
 
+// wishStream is the second seed of the source for randomWishes.
+const wishStream = 2
+
+// randomWishes returns, for half of the rounds, requests that crash servers, and for one
+// in four a server that leaves or wants no requests for a while.
+func randomWishes(random *rand.Rand, servers int) []event {
+	var events []event
+	delay := func() time.Duration { return time.Duration(random.Int64N(int64(maxDelay))) }
+	if random.IntN(2) == 0 {
+		events = append(events, event{fault: CrashRequests{}, delay: delay()})
+	}
+	switch s := random.IntN(servers); random.IntN(8) {
+	case 0:
+		events = append(events, event{fault: SickServer{Server: s, Faults: fakes.ServerFaults{Leaving: true}}, delay: delay()})
+	case 1:
+		faults := fakes.ServerFaults{Shed: true, RetryAfter: time.Second}
+		events = append(events, event{fault: SickServer{Server: s, Faults: faults}, delay: delay()})
+	}
+	return events
+}
+
 func randomLinkFaults(random *rand.Rand) fakes.LinkFaults {
 	return []fakes.LinkFaults{
 		{DropForward: true, DropBackward: true},
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -54,6 +54,9 @@
 
 	mutex   sync.Mutex
 	version uint64
+
+	crashMutex sync.Mutex
+	crashes    crashRecord
 }
 
 // server is a stand-in for a server behind a link. drainStart is when the server
@@ -130,7 +133,7 @@
 
 func (f *fleet) addServer(ctx context.Context, i int) error {
 	s := &server{}
-	address, err := f.serve(ctx, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.ServeHTTP(w, r) }))
+	address, err := f.serve(ctx, f.crashHandler(ctx, s))
 	if err != nil {
 		return err
 	}
@@ -292,6 +295,8 @@
 		errs = append(errs, ignoreExitError(<-d.exited))
 	}
 	cancel()
+	f.crashMutex.Lock()
+	defer f.crashMutex.Unlock()
 	for _, result := range f.results {
 		errs = append(errs, <-result)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -70,11 +71,14 @@
 func (f *fleet) runRounds(ctx context.Context, r *recorder) error {
 	random := rand.New(rand.NewPCG(f.options.Seed, f.options.Seed))
 	endless := rand.New(rand.NewPCG(f.options.Seed, endlessStream))
+	wishes := rand.New(rand.NewPCG(f.options.Seed, wishStream))
 	f.waitForRecovery(ctx, r, "start")
+	f.setDisturbed(false)
 	for round := range f.options.Rounds {
 		events, planned := randomRound(random, len(f.daemons), len(f.servers))
 		if !planned {
 			events = append(events, randomEndless(endless, len(f.servers))...)
+			events = append(events, randomWishes(wishes, len(f.servers))...)
 		}
 		name := fmt.Sprintf("seed %d, round %d, %s", f.options.Seed, round, describe(events))
 		if err := f.runRound(ctx, r, events, planned, name); err != nil {
@@ -95,6 +99,10 @@
 	for i := range f.options.Callers {
 		results = append(results, kernel.Run(loadCtx, func(ctx context.Context) error { return f.generateLoad(ctx, r, i, planned) }))
 	}
+	disturbed := slices.ContainsFunc(events, disturbs)
+	if disturbed {
+		f.setDisturbed(true)
+	}
 	err := f.injectFaults(ctx, events)
 	sleep(ctx, faultDuration)
 	if len(events) == 1 {
@@ -106,6 +114,10 @@
 		err = errors.Join(err, <-result)
 	}
 	f.waitForRecovery(ctx, r, name)
+	if disturbed {
+		f.setDisturbed(false)
+	}
+	f.checkCrashes(r, name)
 	return err
 }
 
