--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -10,7 +10,7 @@
 const (
 	maxFingerprints = 1024
 	suspectPeriod   = 10 * time.Minute
-	confirmedPeriod = 10 * time.Minute
+	confirmedPeriod = 24 * time.Hour
 )
 
 // Fingerprint is a hash of the method, path and body of a request; 0 means that
