crash, front: count crashes by caller and path, and by content for all callers

Found while looking for ways past the limit: the fingerprint held the caller's address and the whole request target.

Each end now counts under two fingerprints: caller (key or address), path and body; and method, host, target and body, whoever sends it. Of the second, ends of attempts that were under way together count once, and copies are not limited, since servers that end together end many copies of what many callers send. A caller's copies are limited to one only from two ends on.

--- a/choose/message.go
+++ b/choose/message.go
@@ -12,7 +12,7 @@
 // servers that the daemon cannot reach or that already had the request. Repeat
 // marks a retry or hedged request, which counts against the retry budget. Probe
 // means that the request can be retried on another server if this attempt fails.
-// Content is a fingerprint of the request's caller, target and body, 0 for none.
+// Identity holds the fingerprints of the request.
 type Ask struct {
 	Daemon    string
 	Ticket    uint64
@@ -24,7 +24,7 @@
 	Exclude   []string
 	Repeat    bool
 	Probe     bool
-	Content   crash.Fingerprint
+	Identity  crash.Identity
 }
 
 // Decision is the result of an ask: Granted or Refused.
@@ -107,7 +107,7 @@
 )
 
 // Release reports the end of an attempt. Running and Waiting are the server's own
-// counts of requests; Running is negative if it sent none. Born and Content are those of
+// counts of requests; Running is negative if it sent none. Born and Identity are those of
 // the lease. ConnAge is the time since the connection was opened, 0 if there was none.
 // Leaving means that the server wants no further requests.
 type Release struct {
@@ -115,7 +115,7 @@
 	Ticket   uint64
 	Server   string
 	Born     int64
-	Content  crash.Fingerprint
+	Identity crash.Identity
 	Outcome  Outcome
 	Loss     Loss
 	Duration time.Duration
--- a/choose/pool.go
+++ b/choose/pool.go
@@ -128,13 +128,13 @@
 	}
 	probe := ask.Probe && best.health.probability(now, p.unhealthyShare) > probeThreshold
 	best.attempts = append(best.attempts, attempt{
-		daemon:      ask.Daemon,
-		ticket:      ask.Ticket,
-		route:       ask.Route,
-		startedAt:   now,
-		expiresAt:   now.Add(ask.Left + attemptExpiryMargin),
-		probe:       probe,
-		fingerprint: ask.Content,
+		daemon:    ask.Daemon,
+		ticket:    ask.Ticket,
+		route:     ask.Route,
+		startedAt: now,
+		expiresAt: now.Add(ask.Left + attemptExpiryMargin),
+		probe:     probe,
+		identity:  ask.Identity,
 	})
 	best.lastAssignedAt, best.lastDaemon = now, ask.Daemon
 	return Granted{Server: best.ID, Born: best.Born, Patience: p.hedgeDelay(now, ask, best)}
@@ -317,7 +317,7 @@
 	count := 0
 	for _, s := range p.sorted {
 		for _, a := range s.attempts {
-			if a.fingerprint == fingerprint && now.Before(a.expiresAt) {
+			if (a.identity.Caller == fingerprint || a.identity.Content == fingerprint) && now.Before(a.expiresAt) {
 				count++
 			}
 		}
--- a/choose/server.go
+++ b/choose/server.go
@@ -31,13 +31,13 @@
 // attempt is a request in flight on a server. Probe marks one that tests an
 // untrusted server.
 type attempt struct {
-	daemon      string
-	ticket      uint64
-	route       string
-	startedAt   time.Time
-	expiresAt   time.Time
-	probe       bool
-	fingerprint crash.Fingerprint
+	daemon    string
+	ticket    uint64
+	route     string
+	startedAt time.Time
+	expiresAt time.Time
+	probe     bool
+	identity  crash.Identity
 }
 
 // server is the state of one server. DurationFactor is its mean duration relative
--- a/crash/counter.go
+++ b/crash/counter.go
@@ -68,10 +68,10 @@
 
 // silentAttempt is an attempt that got no response and whose server may have ended.
 type silentAttempt struct {
-	fingerprint Fingerprint
-	end         End
-	sentAt      time.Time
-	learnedAt   time.Time
+	identity  Identity
+	end       End
+	sentAt    time.Time
+	learnedAt time.Time
 }
 
 // Counter counts the servers that ended while they ran the same request, and decides
@@ -115,35 +115,51 @@
 	return record
 }
 
-// Admit reports whether a request may be sent to a server, of which inFlight copies
-// are under way, and otherwise how long to wait. A request that has ended servers may
-// have only as many copies as further ends are allowed; after MaxEnds it is refused, up
-// to single tests.
-func (c *Counter) Admit(now time.Time, fingerprint Fingerprint, inFlight int) (wait time.Duration, admitted bool) {
-	found, known := c.counts[fingerprint]
-	switch {
-	case !known || len(found.ends) == 0 || now.Sub(found.lastAt) > countRetention:
-		return 0, true
-	case len(found.ends) < MaxEnds:
-		return copyWait, len(found.ends)+inFlight < MaxEnds
-	case now.Before(found.refusedUntil):
-		return found.refusedUntil.Sub(now), false
-	case inFlight > 0:
-		return copyWait, false
-	default:
+// Suspects reports whether a request has ended servers.
+func (c *Counter) Suspects(identity Identity) bool {
+	return slices.ContainsFunc(identity.Fingerprints(), func(f Fingerprint) bool { return c.Ends(f) > 0 })
+}
+
+// Admit reports whether a request may be sent to a server, and otherwise how long to
+// wait. A request that could end the last allowed server has only one copy under way;
+// after MaxEnds it is refused, up to single tests. InFlight counts the copies.
+func (c *Counter) Admit(now time.Time, identity Identity, inFlight func(fingerprint Fingerprint) int) (wait time.Duration, admitted bool) {
+	var tested []Fingerprint
+	for _, fingerprint := range identity.Fingerprints() {
+		found, known := c.counts[fingerprint]
+		if !known || len(found.ends) < MaxEnds-1 || now.Sub(found.lastAt) > countRetention {
+			continue
+		}
+		refused := len(found.ends) >= MaxEnds
+		if refused && now.Before(found.refusedUntil) {
+			return found.refusedUntil.Sub(now), false
+		}
+		// Other callers may send the same content, and mostly with success.
+		if (refused || !fingerprint.Shared()) && inFlight(fingerprint) > 0 {
+			return copyWait, false
+		}
+		if refused {
+			tested = append(tested, fingerprint)
+		}
+	}
+	for _, fingerprint := range tested {
+		found := c.counts[fingerprint]
 		found.tests++
 		c.refuse(now, fingerprint, found)
-		return 0, true
 	}
+	return 0, true
 }
 
 // Refused returns how long a request is refused, whatever copies of it run; 0 if it is
 // not.
-func (c *Counter) Refused(now time.Time, fingerprint Fingerprint) time.Duration {
-	if found, known := c.counts[fingerprint]; known && len(found.ends) >= MaxEnds {
-		return max(found.refusedUntil.Sub(now), 0)
+func (c *Counter) Refused(now time.Time, identity Identity) time.Duration {
+	var longest time.Duration
+	for _, fingerprint := range identity.Fingerprints() {
+		if found, known := c.counts[fingerprint]; known && len(found.ends) >= MaxEnds {
+			longest = max(longest, found.refusedUntil.Sub(now))
+		}
 	}
-	return 0
+	return longest
 }
 
 // refuse starts the next period of refusal. Its length differs from process to process,
@@ -192,7 +208,7 @@
 		found.ends[at].reported = found.ends[at].reported || end.reported
 		found.ends[at].stored = found.ends[at].stored || end.stored
 		return ChangeNone
-	case slices.Contains(found.withdrawn, end.Attempt):
+	case slices.Contains(found.withdrawn, end.Attempt), fingerprint.Shared() && found.coincides(end):
 		return ChangeNone
 	}
 	found.ends = append(found.ends, end)
@@ -212,6 +228,12 @@
 	return ChangeCounted
 }
 
+// coincides reports whether the attempt of an end was under way when an earlier end was
+// noticed. Servers that end together end many copies of what several callers send.
+func (c *count) coincides(end knownEnd) bool {
+	return end.reported && slices.ContainsFunc(c.ends, func(k knownEnd) bool { return !end.sentAt.After(k.learnedAt) })
+}
+
 // withdraw removes an end and remembers it, since other daemons may report it later.
 func (c *Counter) withdraw(fingerprint Fingerprint, end End) bool {
 	found, known := c.counts[fingerprint]
@@ -315,16 +337,13 @@
 	return openedAt.Before(e.sentAt) || (!e.late && now.Sub(e.learnedAt) < minRestartTime)
 }
 
-// Silent records an attempt that got no complete response. It returns the report of an
+// Silent records an attempt that got no complete response. It returns the reports of an
 // end if the server is known to have ended.
-func (c *Counter) Silent(now time.Time, fingerprint Fingerprint, end End, sentAgo time.Duration) []Report {
-	if fingerprint == 0 {
-		return nil
-	}
-	attempt := silentAttempt{fingerprint: fingerprint, end: end, sentAt: now.Add(-sentAgo), learnedAt: now}
+func (c *Counter) Silent(now time.Time, identity Identity, end End, sentAgo time.Duration) []Report {
+	attempt := silentAttempt{identity: identity, end: end, sentAt: now.Add(-sentAgo), learnedAt: now}
 	key := incarnation{server: end.Server, born: end.Born}
 	if _, known := c.ended[key]; known {
-		return []Report{attempt.report(now)}
+		return attempt.reports(now)
 	}
 	if c.silents < maxSilent {
 		c.silent[key] = append(c.silent[key], attempt)
@@ -341,7 +360,7 @@
 	var reports []Report
 	for _, attempt := range c.silent[key] {
 		if now.Sub(attempt.learnedAt) <= silenceRetention {
-			reports = append(reports, attempt.report(now))
+			reports = append(reports, attempt.reports(now)...)
 		}
 	}
 	c.silents -= len(c.silent[key])
@@ -349,8 +368,8 @@
 	return reports
 }
 
-func (a silentAttempt) report(now time.Time) Report {
-	return Report{Kind: ServerEnded, Fingerprint: a.fingerprint, End: a.end, SentAgo: now.Sub(a.sentAt), Late: true}
+func (a silentAttempt) reports(now time.Time) []Report {
+	return EndReports(a.identity, a.end, now.Sub(a.sentAt), true)
 }
 
 // Fingerprints returns the fingerprints that have ended servers, in ascending order.
--- a/crash/end.go
+++ b/crash/end.go
@@ -43,3 +43,12 @@
 	SentAgo     time.Duration
 	Late        bool
 }
+
+// EndReports returns the reports of one end, one for each fingerprint of the request.
+func EndReports(identity Identity, end End, sentAgo time.Duration, late bool) []Report {
+	var reports []Report
+	for _, fingerprint := range identity.Fingerprints() {
+		reports = append(reports, Report{Kind: ServerEnded, Fingerprint: fingerprint, End: end, SentAgo: sentAgo, Late: late})
+	}
+	return reports
+}
--- a/front/body.go
+++ b/front/body.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -61,17 +62,22 @@
 // resendable reports whether the body can be sent more than once.
 func (b *body) resendable() bool { return b.stream == nil }
 
-// fingerprint returns a hash of the caller's address, the method, host, request target
-// and body; of a streamed body, its declared length and what was read of it. It is never
-// 0.
-func (b *body) fingerprint(r *http.Request) crash.Fingerprint {
-	caller, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		caller = r.RemoteAddr
+// identity returns the fingerprints of the request with this body: of the caller, which
+// is the given account or else the address, with path and body, and of what is sent. For
+// a streamed body they use its declared length and what was read of it.
+func (b *body) identity(r *http.Request, account string) crash.Identity {
+	if account == "" {
+		account = callerAddress(r)
 	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return crash.NewIdentity(b.hash(account, path), b.hash(r.Method, strings.ToLower(r.Host), r.RequestURI))
+}
+
+// hash returns a hash of some texts and the body.
+func (b *body) hash(texts ...string) uint64 {
 	digest := xxhash.New()
-	for _, part := range []string{caller, r.Method, r.Host, r.RequestURI} {
-		_, _ = digest.WriteString(part)
+	for _, text := range texts {
+		_, _ = digest.WriteString(text)
 		_, _ = digest.WriteString("\x00")
 	}
 	if b.stream != nil {
@@ -79,7 +85,16 @@
 	}
 	_, _ = digest.Write(b.prefix)
 	_, _ = digest.Write(b.buffered)
-	return crash.Fingerprint(max(digest.Sum64(), 1))
+	return digest.Sum64()
+}
+
+// callerAddress returns the IP address of the caller.
+func callerAddress(r *http.Request) string {
+	address, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return address.Addr().Unmap().String()
 }
 
 // reader returns the body for one attempt.
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -26,7 +26,7 @@
 	version     uint64
 	service     string
 	body        *body
-	fingerprint crash.Fingerprint
+	identity    crash.Identity
 	arrived     time.Time
 	deadline    time.Time
 	history     *History
@@ -154,7 +154,7 @@
 		Left:      time.Until(e.deadline),
 		Exclude:   e.history.excluded(h.avoidedServers()),
 		Repeat:    e.history.sends > 0,
-		Content:   e.fingerprint,
+		Identity:  e.identity,
 		Probe:     e.route.Idempotent && e.body.resendable() && e.history.sends+1 < e.history.maxSends,
 	}
 }
@@ -181,7 +181,7 @@
 	entry := h.log.WithField("request_id", e.id).WithField("server", res.lease.Server.ID).
 		WithField("outcome", outcomeNames[res.outcome]).WithField("ms", res.duration.Milliseconds()).
 		WithField("sends", e.history.sends).WithField("alone", res.lease.Fallback).
-		WithField("fingerprint", e.fingerprint.String())
+		WithField("fingerprint", e.identity.Caller.String()).WithField("content", e.identity.Content.String())
 	if res.response != nil {
 		entry = entry.WithField("status", res.response.status)
 	}
--- a/front/handler.go
+++ b/front/handler.go
@@ -187,7 +187,7 @@
 	case err != nil:
 		return localResponse{status: http.StatusBadRequest, reason: reasonBodyBroken}, true
 	}
-	e.fingerprint = e.body.fingerprint(e.request)
+	e.identity = e.body.identity(e.request, h.dialect.Account(e.request.Header))
 	e.service = e.route.Pick(rand.Float64())
 	e.header = httpd.EndToEndHeaders(e.request.Header)
 	e.header.Del("Content-Length")
@@ -257,7 +257,8 @@
 		h.metrics.durations.Observe(time.Since(e.arrived).Seconds())
 	}
 	h.logEntry(e).WithField("status", local.status).WithField("reason", local.reason).
-		WithField("refused", e.lastRefusal.Reason).WithField("fingerprint", e.fingerprint.String()).Info("request answered without a server")
+		WithField("refused", e.lastRefusal.Reason).WithField("fingerprint", e.identity.Caller.String()).
+		WithField("content", e.identity.Content.String()).Info("request answered without a server")
 	if err := local.write(w, e.id); err != nil {
 		h.log.WithField("request_id", e.id).WithError(err).Debug("writing the response to the caller failed")
 	}
--- a/proto/dialect.go
+++ b/proto/dialect.go
@@ -8,6 +8,8 @@
 // Dialect reads and writes the headers that are exchanged between callers, daemons
 // and upstreams.
 type Dialect interface {
+	// Account returns what identifies the caller's account, or an empty string.
+	Account(header http.Header) string
 	// RequestID returns the request ID that the caller set, or an empty string.
 	RequestID(header http.Header) string
 	// Deadline returns how long the caller waits for a response, and whether it set
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandeliondoor/choose"
+	"dandeliondoor/crash"
 	"dandeliondoor/feed"
 	"dandeliondoor/rank"
 )
@@ -110,8 +111,8 @@
 		pool = b.newPool(now, request.Pool)
 		b.pools[request.Pool] = pool
 	}
-	inFlight := func() int { return pool.InFlight(now, request.Ask.Content) }
-	if wait, admitted := b.crashes.Admit(now, request.Ask.Content, inFlight); !admitted {
+	inFlight := func(fingerprint crash.Fingerprint) int { return pool.InFlight(now, fingerprint) }
+	if wait, admitted := b.crashes.Admit(now, request.Ask.Identity, inFlight); !admitted {
 		return choose.Refused{Reason: choose.ReasonCrashes, RetryAfter: wait}
 	}
 	return pool.Choose(now, request.Ask)
--- a/slots/client.go
+++ b/slots/client.go
@@ -55,12 +55,12 @@
 // because its view lacks the server or shows it as draining. Refusals is the number
 // of earlier refusals of the request.
 func (c *Client) Ask(ctx context.Context, service string, refusals int, ask choose.Ask) (*Lease, error) {
-	if wait := c.broker.crashes.Refused(time.Now(), ask.Content); wait > 0 {
+	if wait := c.broker.crashes.Refused(time.Now(), ask.Identity); wait > 0 {
 		return nil, &RefusedError{Refused: choose.Refused{Reason: choose.ReasonCrashes, RetryAfter: wait}}
 	}
 	ask.Daemon = c.views.Self().Name
 	ask.Ticket = c.ticket.Add(1)
-	pool := newPoolKey(service, c.views.View().PartCount(service), ask.Content, refusals)
+	pool := newPoolKey(service, c.views.View().PartCount(service), ask.Identity.Content, refusals)
 	request := AskRequest{Pool: pool, Ask: ask}
 	asked := 0
 	for _, daemon := range c.brokers(pool) {
@@ -99,7 +99,7 @@
 		}
 		return nil, &RefusedError{Refused: refused}
 	}
-	lease := &Lease{Pool: request.Pool, Content: request.Ask.Content, Ticket: request.Ask.Ticket, Broker: broker, Fallback: fallback}
+	lease := &Lease{Pool: request.Pool, Identity: request.Ask.Identity, Ticket: request.Ask.Ticket, Broker: broker, Fallback: fallback}
 	server, known := c.views.View().Servers[reply.Granted.Server]
 	if !known || server.Draining {
 		lease.Server.ID = reply.Granted.Server
@@ -121,7 +121,7 @@
 
 // Release ends a lease and reports the outcome to the broker that granted it.
 func (c *Client) Release(lease *Lease, release choose.Release) {
-	release.Daemon, release.Ticket, release.Content = c.views.Self().Name, lease.Ticket, lease.Content
+	release.Daemon, release.Ticket, release.Identity = c.views.Self().Name, lease.Ticket, lease.Identity
 	release.Server, release.Born = lease.Server.ID, lease.Server.Born
 	request := ReleaseRequest{Pool: lease.Pool, Release: release}
 	now := time.Now()
--- a/slots/crashes.go
+++ b/slots/crashes.go
@@ -101,21 +101,20 @@
 
 // Refused returns how long a request is refused because it crashes servers, 0 if it is
 // not.
-func (c *Crashes) Refused(now time.Time, fingerprint crash.Fingerprint) time.Duration {
+func (c *Crashes) Refused(now time.Time, identity crash.Identity) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.counter.Refused(now, fingerprint)
+	return c.counter.Refused(now, identity)
 }
 
 // Admit reports whether a request may be sent to a server, and otherwise how long to
-// wait; inFlight counts its copies under way and is called only for a suspected one.
-func (c *Crashes) Admit(now time.Time, fingerprint crash.Fingerprint, inFlight func() int) (wait time.Duration, admitted bool) {
+// wait; inFlight counts its copies under way.
+func (c *Crashes) Admit(
+	now time.Time, identity crash.Identity, inFlight func(fingerprint crash.Fingerprint) int,
+) (wait time.Duration, admitted bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.counter.Ends(fingerprint) == 0 {
-		return 0, true
-	}
-	return c.counter.Admit(now, fingerprint, inFlight())
+	return c.counter.Admit(now, identity, inFlight)
 }
 
 // SetView learns from a view which servers ended and what the fleet has stored.
@@ -164,10 +163,10 @@
 		Attempt: crash.Attempt{Daemon: release.Daemon, Ticket: release.Ticket}, Server: release.Server, Born: release.Born,
 	}
 	switch {
-	case release.Content != 0 && release.Loss == choose.LossEnded:
-		return []crash.Report{{Kind: crash.ServerEnded, Fingerprint: release.Content, End: end, SentAgo: release.Duration}}
-	case release.Content != 0 && release.Loss == choose.LossSilent:
-		return c.counter.Silent(now, release.Content, end, release.Duration)
+	case release.Loss == choose.LossEnded:
+		return crash.EndReports(release.Identity, end, release.Duration, false)
+	case release.Loss == choose.LossSilent:
+		return c.counter.Silent(now, release.Identity, end, release.Duration)
 	case release.Outcome != choose.Served && release.Outcome != choose.Failed && release.Outcome != choose.Shed:
 		return nil
 	}
@@ -176,8 +175,10 @@
 		sentAt := now.Add(-release.Duration)
 		reports = c.counter.Responded(now, release.Server, release.Born, now.Add(-release.ConnAge), sentAt)
 	}
-	if release.Outcome == choose.Served && c.counter.Ends(release.Content) > 0 {
-		reports = append(reports, crash.Report{Kind: crash.Succeeded, Fingerprint: release.Content})
+	if release.Outcome == choose.Served && c.counter.Suspects(release.Identity) {
+		for _, fingerprint := range release.Identity.Fingerprints() {
+			reports = append(reports, crash.Report{Kind: crash.Succeeded, Fingerprint: fingerprint})
+		}
 	}
 	return reports
 }
@@ -432,7 +433,7 @@
 	defer c.mutex.Unlock()
 	var refused []RefusedRequest
 	for _, fingerprint := range c.counter.Fingerprints() {
-		if left := c.counter.Refused(now, fingerprint); left > 0 {
+		if left := c.counter.Refused(now, crash.Identity{Caller: fingerprint}); left > 0 {
 			refused = append(refused, RefusedRequest{Fingerprint: fingerprint.String(), Ends: c.counter.Ends(fingerprint), Left: left})
 		}
 	}
--- a/slots/message.go
+++ b/slots/message.go
@@ -45,7 +45,7 @@
 type Lease struct {
 	Pool     PoolKey
 	Server   topo.Server
-	Content  crash.Fingerprint
+	Identity crash.Identity
 	Ticket   uint64
 	Broker   topo.Daemon
 	Fallback bool
--- a/slots/part.go
+++ b/slots/part.go
@@ -16,11 +16,11 @@
 	Parts   int
 }
 
-// newPoolKey returns the part that handles a request fingerprint. It is the same
-// for each attempt, so that one pool sees all lost connections of a fingerprint,
+// newPoolKey returns the part that handles a request. It is the same for each attempt,
 // except that each refusal moves on to the next part.
 func newPoolKey(service string, parts int, content crash.Fingerprint, refusals int) PoolKey {
-	part := (uint64(content) + uint64(refusals)) % uint64(parts)
+	// The lowest bit of a fingerprint is not a part of the hash.
+	part := (uint64(content)>>1 + uint64(refusals)) % uint64(parts)
 	return PoolKey{Service: service, Part: int(part), Parts: parts}
 }
 
