slots, feed, platform: share the counts of crashes at a lower price

Causes: any daemon could be the home of a fingerprint, so daemons opened connections to all others; a long poll returned at each of some 150 records; each fingerprint was written by a call of its own, often by four daemons.

Now the homes of an end are the broker of its server's pool and the next one by rank, to which connections exist; only the daemon that made an attempt reports its end. Records that are due go in one call; those with two ends wait 0.5 s for responses that withdraw an end, other daemons than the first home 1.5 s. The reader polls twice an interval. Brokers of two services meet in the store from two ends on: TestCrashesOfFleet, 'two services in turn'.

--- a/crash/end.go
+++ b/crash/end.go
@@ -13,6 +13,7 @@
 // server.
 type End struct {
 	Attempt Attempt
+	Service string
 	Server  string
 	Born    int64
 }
--- a/fakes/store.go
+++ b/fakes/store.go
@@ -133,12 +133,36 @@
 
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
-	if err != nil || len(body) < lengthPrefixBytes+1 {
+	records, valid := splitRecords(body)
+	if err != nil || !valid {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	offset := s.append(r.URL.Query().Get("topic"), body[lengthPrefixBytes:])
-	writeJSON(w, map[string]uint64{"offset": offset, "end": offset + 1})
+	var first, last uint64
+	for i, record := range records {
+		last = s.append(r.URL.Query().Get("topic"), record)
+		if i == 0 {
+			first = last
+		}
+	}
+	writeJSON(w, map[string]uint64{"offset": first, "end": last + 1})
+}
+
+// splitRecords splits the body of an append into its records, each with a key, and
+// reports whether it has any and is valid.
+func splitRecords(body []byte) (records [][]byte, valid bool) {
+	for len(body) > 0 {
+		if len(body) < lengthPrefixBytes+1 {
+			return nil, false
+		}
+		end := lengthPrefixBytes + int(binary.BigEndian.Uint32(body))
+		if end <= lengthPrefixBytes || end > len(body) {
+			return nil, false
+		}
+		records = append(records, body[lengthPrefixBytes:end])
+		body = body[end:]
+	}
+	return records, len(records) > 0
 }
 
 func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
--- a/feed/read.go
+++ b/feed/read.go
@@ -17,9 +17,12 @@
 	// daemons, whose list changes rarely.
 	daemonsPollHold = 10 * time.Second
 	// configHoldIntervals is how long the store may hold a long poll for the
-	// configuration or the crashes, in multiples of Settings.Interval. It is short because a
+	// configuration, in multiples of Settings.Interval. It is short because a
 	// call that is held while a record is stored may miss the record.
 	configHoldIntervals = 2
+	// crashIntervals is the time between two reads of the crashes, in multiples of
+	// Settings.Interval. Long polls would return at each of many changes.
+	crashIntervals = 2
 	// fallbackRetryWait is the wait after a failed read by a daemon that usually
 	// gets its view from other daemons.
 	fallbackRetryWait = 1500 * time.Millisecond
@@ -44,9 +47,7 @@
 	daemons := kernel.Run(ctx, func(ctx context.Context) error {
 		return longPoll(ctx, s, s.sources.Daemons, daemonsPollHold, s.updateDaemons)
 	})
-	crashes := kernel.Run(ctx, func(ctx context.Context) error {
-		return longPoll(ctx, s, s.sources.Crashes, configHoldIntervals*s.settings.Interval, s.updateCrashes)
-	})
+	crashes := kernel.Run(ctx, s.readCrashes)
 	for ctx.Err() == nil && s.isReader(time.Now()) {
 		pause(ctx, s.settings.Interval)
 		// Long polls that the store still holds after an outage may never be
@@ -150,6 +151,20 @@
 	s.update(func(state *state) bool { return state.applyCrashes(changes, complete) })
 }
 
+// readCrashes reads the requests that crash servers at intervals until the context ends.
+func (s *Service) readCrashes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changes, complete, err := s.sources.Crashes.Poll(ctx, 0)
+		if err != nil {
+			s.log.WithError(err).Debug("reading the requests that crash servers failed; retrying")
+		} else {
+			s.updateCrashes(changes, complete)
+		}
+		pause(ctx, crashIntervals*s.settings.Interval)
+	}
+	return nil
+}
+
 // longPoll polls one part of the store with long polls until the context ends.
 func longPoll[V any](
 	ctx context.Context, s *Service, poller Poller[V], hold time.Duration, apply func(changes []topo.Change[V], complete bool),
--- a/feed/service.go
+++ b/feed/service.go
@@ -40,8 +40,8 @@
 // CrashLog lists the requests that have ended several servers, by fingerprint.
 type CrashLog interface {
 	Poller[crash.Record]
-	Put(ctx context.Context, fingerprint crash.Fingerprint, record crash.Record) error
-	Remove(ctx context.Context, fingerprint crash.Fingerprint) error
+	// Update replaces records; an empty one removes that of its fingerprint.
+	Update(ctx context.Context, records map[crash.Fingerprint]crash.Record) error
 }
 
 // Sources contains the parts of the store that the feed reads.
--- a/feed/service_test.go
+++ b/feed/service_test.go
@@ -120,15 +120,7 @@
 // crashLog is one daemon's access to the table of requests that crash servers.
 type crashLog struct{ poller[crash.Record] }
 
-func (l *crashLog) Put(_ context.Context, fingerprint crash.Fingerprint, record crash.Record) error {
-	l.table.put(fingerprint.String(), record)
-	return nil
-}
-
-func (l *crashLog) Remove(_ context.Context, fingerprint crash.Fingerprint) error {
-	l.table.remove(fingerprint.String())
-	return nil
-}
+func (l *crashLog) Update(context.Context, map[crash.Fingerprint]crash.Record) error { return nil }
 
 // zone contains the daemons of one availability zone, or of several ones in turn, their
 // fake store and the links through which other daemons reach them.
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -121,7 +121,7 @@
 // Release ends an attempt. It ignores attempts of pools that don't exist, except for
 // what they say of crashes.
 func (b *Broker) Release(now time.Time, request ReleaseRequest) {
-	b.crashes.Released(now, request.Release)
+	b.crashes.Released(now, request.Pool.Service, request.Release)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if pool, known := b.pools[request.Pool]; known {
--- a/slots/crashes.go
+++ b/slots/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -20,21 +19,24 @@
 )
 
 const (
-	// crashHomes is how many daemons collect all ends of a fingerprint, whichever
-	// daemon, part or service saw them, and crashShards the number of rankings of
-	// daemons for it.
-	crashHomes  = 2
-	crashShards = 64
+	// crashHomes is how many daemons collect the ends of a pool's servers: its broker
+	// and the next one by rank, which takes over from it.
+	crashHomes = 2
 	// storedEnds is the number of ends from which a fingerprint is stored for the
 	// whole fleet. Single ends are frequent and mostly have other causes.
 	storedEnds = 2
+	// proofDelay is how long a fingerprint with fewer than crash.MaxEnds ends is not
+	// stored, since responses of the servers may withdraw an end.
+	proofDelay = 500 * time.Millisecond
 	// storeDelay is how long daemons other than the first home wait for it to store
 	// a fingerprint before they do.
-	storeDelay = 700 * time.Millisecond
+	storeDelay = 1500 * time.Millisecond
 	// storeInterval is how often it is checked what is due to be stored, and
 	// storeRetryWait the wait after a failure.
 	storeInterval  = 100 * time.Millisecond
 	storeRetryWait = 2 * time.Second
+	// maxStored bounds the records of one call to the store.
+	maxStored = 256
 	// expiryInterval is how often old counts are dropped.
 	expiryInterval = 5 * time.Second
 	// crashSenders is how many reports are sent to other daemons at the same time,
@@ -46,20 +48,20 @@
 
 // CrashStore stores the ends of requests that crash servers, for the whole fleet.
 type CrashStore interface {
-	Put(ctx context.Context, fingerprint crash.Fingerprint, record crash.Record) error
-	Remove(ctx context.Context, fingerprint crash.Fingerprint) error
+	// Update replaces records; an empty one removes that of its fingerprint.
+	Update(ctx context.Context, records map[crash.Fingerprint]crash.Record) error
 }
 
 // Crashes counts the servers that ended while they ran the same request, for all
-// brokers of a daemon. Every end goes to the homes of its fingerprint; what has ended
-// several servers is stored for the fleet, so that it outlives processes and reaches
-// each daemon with its view.
+// brokers of a daemon. Every end goes to the homes of its server; what has ended several
+// servers is stored for the fleet, so that it outlives processes and reaches each daemon,
+// and the brokers of other services, with the view.
 type Crashes struct {
 	views ViewSource
 	peers *wire.Peers
 	store CrashStore
 	log   *logrus.Entry
-	homes rankCache[uint64]
+	homes rankCache[PoolKey]
 	sends chan delivery
 	wake  chan struct{}
 
@@ -137,17 +139,21 @@
 			c.schedule(now, fingerprint)
 		}
 	}
-	changed := c.apply(now, reports)
+	deliveries := c.apply(now, reports)
 	c.mutex.Unlock()
-	c.notify(changed)
+	c.send(deliveries)
 }
 
-// Released learns from the end of an attempt.
-func (c *Crashes) Released(now time.Time, release choose.Release) {
+// Released learns from the end of an attempt at a server of a service.
+func (c *Crashes) Released(now time.Time, service string, release choose.Release) {
 	c.mutex.Lock()
-	changed := c.apply(now, c.reports(now, release))
+	deliveries := c.apply(now, c.reports(now, service, release))
 	c.mutex.Unlock()
-	c.notify(changed)
+	if release.Loss == choose.LossEnded && c.views != nil && release.Daemon != c.views.Self().Name {
+		// The daemon that made the attempt reports its end.
+		return
+	}
+	c.send(deliveries)
 }
 
 // Receive applies the report of another daemon.
@@ -158,9 +164,10 @@
 }
 
 // reports returns what follows from the end of an attempt.
-func (c *Crashes) reports(now time.Time, release choose.Release) []crash.Report {
+func (c *Crashes) reports(now time.Time, service string, release choose.Release) []crash.Report {
 	end := crash.End{
-		Attempt: crash.Attempt{Daemon: release.Daemon, Ticket: release.Ticket}, Server: release.Server, Born: release.Born,
+		Attempt: crash.Attempt{Daemon: release.Daemon, Ticket: release.Ticket},
+		Service: service, Server: release.Server, Born: release.Born,
 	}
 	switch {
 	case release.Loss == choose.LossEnded:
@@ -183,19 +190,20 @@
 	return reports
 }
 
-// apply applies reports and returns those that changed a count.
-func (c *Crashes) apply(now time.Time, reports []crash.Report) []crash.Report {
-	var changed []crash.Report
+// apply applies reports and returns what other daemons have to know of the changes.
+func (c *Crashes) apply(now time.Time, reports []crash.Report) []delivery {
+	var deliveries []delivery
 	for _, report := range reports {
+		homes := c.homesOf(report.Fingerprint, report.End)
 		observed := c.counter.Apply(now, report)
 		if observed.Change == crash.ChangeNone {
 			continue
 		}
-		changed = append(changed, report)
+		deliveries = append(deliveries, c.deliveries(report, homes)...)
 		c.logChange(report, observed)
 		c.schedule(now, report.Fingerprint)
 	}
-	return changed
+	return deliveries
 }
 
 func (c *Crashes) logChange(report crash.Report, observed crash.Observation) {
@@ -210,38 +218,39 @@
 	entry.Info(message)
 }
 
-// notify sends reports to the homes of their fingerprints, and withdrawals also to the
-// daemon that reported the end.
-func (c *Crashes) notify(reports []crash.Report) {
+// deliveries returns a report for its homes, and a withdrawal also for the daemon that
+// reported the end.
+func (c *Crashes) deliveries(report crash.Report, homes []topo.Daemon) []delivery {
 	if c.views == nil {
-		return
+		return nil
 	}
-	self := c.views.Self().Name
-	for _, report := range reports {
-		receivers := slices.Clone(c.homesOf(report.Fingerprint))
-		if report.Kind == crash.Withdrawn {
-			for _, daemon := range c.views.View().Daemons {
-				if daemon.Name == report.End.Attempt.Daemon && !slices.Contains(receivers, daemon) {
-					receivers = append(receivers, daemon)
-				}
+	receivers := slices.Clone(homes)
+	if report.Kind == crash.Withdrawn {
+		for _, daemon := range c.views.View().Daemons {
+			if daemon.Name == report.End.Attempt.Daemon && !slices.Contains(receivers, daemon) {
+				receivers = append(receivers, daemon)
 			}
 		}
-		for _, daemon := range receivers {
-			if daemon.Name != self {
-				c.send(delivery{daemon: daemon, report: report})
-			}
+	}
+	var deliveries []delivery
+	for _, daemon := range receivers {
+		if daemon.Name != c.views.Self().Name {
+			deliveries = append(deliveries, delivery{daemon: daemon, report: report})
 		}
 	}
+	return deliveries
 }
 
-// send queues a report for another daemon. If too many wait, it drops the report; the
+// send queues reports for other daemons. If too many wait, it drops the report; the
 // other home, the broker and this daemon still have it.
-func (c *Crashes) send(d delivery) {
-	select {
-	case c.sends <- d:
-	default:
-		c.log.WithField("fingerprint", d.report.Fingerprint.String()).WithField("daemon", d.daemon.Name).
-			Warn("too many reports of crashes wait; one dropped")
+func (c *Crashes) send(deliveries []delivery) {
+	for _, d := range deliveries {
+		select {
+		case c.sends <- d:
+		default:
+			c.log.WithField("fingerprint", d.report.Fingerprint.String()).WithField("daemon", d.daemon.Name).
+				Warn("too many reports of crashes wait; one dropped")
+		}
 	}
 }
 
@@ -262,21 +271,41 @@
 	}
 }
 
-// homesOf returns the daemons that collect the ends of a fingerprint.
-func (c *Crashes) homesOf(fingerprint crash.Fingerprint) []topo.Daemon {
+// homesOf returns the daemons that collect an end; without one, those that collect the
+// known ends of the fingerprint.
+func (c *Crashes) homesOf(fingerprint crash.Fingerprint, end crash.End) []topo.Daemon {
 	if c.views == nil {
 		return nil
 	}
-	shard := uint64(fingerprint) % crashShards
-	return c.homes.get(shard, fmt.Sprintf("crashes/%d", shard), c.views.View().Daemons, crashHomes)
+	ends := []crash.End{end}
+	if end.Service == "" {
+		ends = c.counter.Record(fingerprint).Ends
+	}
+	view := c.views.View()
+	var homes []topo.Daemon
+	for _, e := range ends {
+		pool := poolOf(e.Service, e.Server, view.PartCount(e.Service))
+		for _, daemon := range c.homes.get(pool, pool.rankingKey(), view.Daemons, crashHomes) {
+			if !slices.Contains(homes, daemon) {
+				homes = append(homes, daemon)
+			}
+		}
+	}
+	return homes
 }
 
-// homeRank returns the position of this daemon among the homes of a fingerprint, or
-// crashHomes if it is none.
+// homeRank returns the position of this daemon among the homes of the first known end of
+// a fingerprint, or crashHomes if it is none of them.
 func (c *Crashes) homeRank(fingerprint crash.Fingerprint) int {
-	for rank, daemon := range c.homesOf(fingerprint) {
-		if daemon.Name == c.views.Self().Name {
-			return rank
+	ends := c.counter.Record(fingerprint).Ends
+	if len(ends) == 0 {
+		ends = c.stored[fingerprint].Ends
+	}
+	if len(ends) > 0 {
+		for rank, daemon := range c.homesOf(fingerprint, ends[0]) {
+			if daemon.Name == c.views.Self().Name {
+				return rank
+			}
 		}
 	}
 	return crashHomes
@@ -285,15 +314,21 @@
 // schedule plans to store a fingerprint if its stored record lacks an end, or, on its
 // first home, to remove a record that is no longer right.
 func (c *Crashes) schedule(now time.Time, fingerprint crash.Fingerprint) {
-	if c.store == nil || c.storeAction(fingerprint) == storeNothing {
+	if c.store == nil {
 		return
 	}
-	if _, planned := c.due[fingerprint]; planned {
+	if _, changes := c.nextRecord(fingerprint); !changes {
 		return
 	}
-	c.due[fingerprint] = now
+	delay := time.Duration(0)
+	if c.counter.Ends(fingerprint) < crash.MaxEnds {
+		delay = proofDelay
+	}
 	if c.homeRank(fingerprint) > 0 {
-		c.due[fingerprint] = now.Add(storeDelay)
+		delay += storeDelay
+	}
+	if at, planned := c.due[fingerprint]; !planned || now.Add(delay).Before(at) {
+		c.due[fingerprint] = now.Add(delay)
 	}
 	select {
 	case c.wake <- struct{}{}:
@@ -301,26 +336,16 @@
 	}
 }
 
-// storeAction is what a stored record needs.
-type storeAction uint8
-
-const (
-	storeNothing storeAction = iota
-	storePut
-	storeRemove
-)
-
-// storeAction returns what the stored record of a fingerprint needs: to be replaced if
-// it lacks an end, to be removed if there are too few.
-func (c *Crashes) storeAction(fingerprint crash.Fingerprint) storeAction {
-	known, stored := c.counter.Record(fingerprint).Ends, c.stored[fingerprint].Ends
+// nextRecord returns what the stored record of a fingerprint is to be replaced by, and
+// whether it is: it may lack an end, or, on the first home, have to go because too few
+// are left.
+func (c *Crashes) nextRecord(fingerprint crash.Fingerprint) (crash.Record, bool) {
+	known, stored := c.counter.Record(fingerprint), c.stored[fingerprint].Ends
 	switch {
-	case len(known) >= storedEnds && slices.ContainsFunc(known, func(e crash.End) bool { return !slices.Contains(stored, e) }):
-		return storePut
-	case len(known) < storedEnds && len(stored) > 0 && c.homeRank(fingerprint) == 0:
-		return storeRemove
+	case len(known.Ends) >= storedEnds:
+		return known, slices.ContainsFunc(known.Ends, func(e crash.End) bool { return !slices.Contains(stored, e) })
 	default:
-		return storeNothing
+		return crash.Record{}, len(stored) > 0 && c.homeRank(fingerprint) == 0
 	}
 }
 
@@ -374,50 +399,43 @@
 	}
 }
 
-// storeDue stores or removes the records that are due and reports whether others will
-// be.
+// storeDue stores the records that are due, in one call, and reports whether others
+// will be.
 func (c *Crashes) storeDue(ctx context.Context, now time.Time) bool {
-	for fingerprint, action := range c.takeDue(now) {
-		var err error
-		switch action {
-		case storePut:
-			c.mutex.Lock()
-			record := c.counter.Record(fingerprint)
-			c.mutex.Unlock()
-			err = c.store.Put(ctx, fingerprint, record)
-		case storeRemove:
-			err = c.store.Remove(ctx, fingerprint)
-		case storeNothing:
-		}
-		if err != nil && ctx.Err() == nil {
-			c.log.WithField("fingerprint", fingerprint.String()).WithError(err).Warn("storing a request that crashes servers failed; retrying")
-			c.mutex.Lock()
-			c.due[fingerprint] = now.Add(storeRetryWait)
-			c.mutex.Unlock()
-		}
+	var err error
+	due := c.takeDue(now)
+	if len(due) > 0 {
+		err = c.store.Update(ctx, due)
+	}
+	if err != nil && ctx.Err() == nil {
+		c.log.WithField("fingerprints", len(due)).WithError(err).Warn("storing requests that crash servers failed; retrying")
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if err != nil {
+		for fingerprint := range due {
+			c.due[fingerprint] = now.Add(storeRetryWait)
+		}
+	}
 	return len(c.due) > 0 && ctx.Err() == nil
 }
 
-// takeDue removes the fingerprints that are due from the plan and returns what their
-// records need now.
-func (c *Crashes) takeDue(now time.Time) map[crash.Fingerprint]storeAction {
+// takeDue removes the fingerprints that are due from the plan and returns the records
+// that change now.
+func (c *Crashes) takeDue(now time.Time) map[crash.Fingerprint]crash.Record {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	var actions map[crash.Fingerprint]storeAction
+	records := make(map[crash.Fingerprint]crash.Record)
 	for fingerprint, at := range c.due {
-		if now.Before(at) {
+		if now.Before(at) || len(records) == maxStored {
 			continue
 		}
 		delete(c.due, fingerprint)
-		if actions == nil {
-			actions = make(map[crash.Fingerprint]storeAction)
+		if record, changes := c.nextRecord(fingerprint); changes {
+			records[fingerprint] = record
 		}
-		actions[fingerprint] = c.storeAction(fingerprint)
 	}
-	return actions
+	return records
 }
 
 // RefusedRequest is a request that is refused because it crashes servers.
--- a/slots/crashes_test.go
+++ b/slots/crashes_test.go
@@ -23,6 +23,8 @@
 
 const crashWait = 5 * time.Second
 
+var soukPool = slots.PoolKey{Service: service, Parts: 1}
+
 // crashFleet is a fleet whose daemons share what they know of requests that crash
 // servers. It is also their store, and shows its records to all of them at once.
 type crashFleet struct {
@@ -51,20 +53,16 @@
 	return n.view
 }
 
-// Put implements slots.CrashStore.
-func (f *crashFleet) Put(_ context.Context, fingerprint crash.Fingerprint, record crash.Record) error {
+// Update implements slots.CrashStore.
+func (f *crashFleet) Update(_ context.Context, records map[crash.Fingerprint]crash.Record) error {
 	f.mutex.Lock()
 	f.puts++
-	f.records[fingerprint] = record
-	f.mutex.Unlock()
-	f.publish()
-	return nil
-}
-
-// Remove implements slots.CrashStore.
-func (f *crashFleet) Remove(_ context.Context, fingerprint crash.Fingerprint) error {
-	f.mutex.Lock()
-	delete(f.records, fingerprint)
+	for fingerprint, record := range records {
+		f.records[fingerprint] = record
+		if len(record.Ends) == 0 {
+			delete(f.records, fingerprint)
+		}
+	}
 	f.mutex.Unlock()
 	f.publish()
 	return nil
@@ -140,14 +138,17 @@
 	f.nodes, f.daemons = append(f.nodes, node), append(f.daemons, node.daemon)
 }
 
-// lose reports, as the daemon that made the attempt, that a server ended.
-func (n *crashNode) lose(server string) choose.Release {
+// lose reports, as the daemon that made the attempt, that a server of souk ended.
+func (n *crashNode) lose(server string) choose.Release { return n.loseIn(service, server) }
+
+// loseIn is like lose for a server of another service.
+func (n *crashNode) loseIn(of, server string) choose.Release {
 	n.ticket++
 	release := choose.Release{
 		Daemon: n.daemon.Name, Ticket: n.ticket, Server: server, Born: 1, Identity: crash.Identity{Caller: crashing},
 		Outcome: choose.ConnectionLost, Loss: choose.LossEnded, Duration: 50 * time.Millisecond, Running: -1,
 	}
-	n.broker.Release(time.Now(), slots.ReleaseRequest{Release: release})
+	n.broker.Release(time.Now(), slots.ReleaseRequest{Pool: slots.PoolKey{Service: of, Parts: 1}, Release: release})
 	return release
 }
 
@@ -199,6 +200,11 @@
 				}
 			}
 		}},
+		{name: "two services in turn", play: func(_ *testing.T, f *crashFleet) {
+			for i := range 4 {
+				f.nodes[i].loseIn([]string{service, "caisse"}[i%2], "i-1")
+			}
+		}},
 		{name: "each end seen by another daemon", play: func(_ *testing.T, f *crashFleet) {
 			for i := range 3 {
 				f.nodes[i].lose("i-1")
@@ -236,11 +242,11 @@
 	f := newCrashFleet(t, 6)
 	for i := range 3 {
 		release := f.nodes[i].lose("i-1")
-		f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Release: release})
+		f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Pool: soukPool, Release: release})
 	}
 	f.waitRefused(t, true)
 	time.Sleep(20 * time.Millisecond)
-	f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Release: choose.Release{
+	f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Pool: soukPool, Release: choose.Release{
 		Daemon: "front-5", Ticket: 1, Server: "i-1", Born: 1, Identity: crash.Identity{Caller: crashing + 2}, Outcome: choose.Served,
 		Duration: 10 * time.Millisecond, ConnAge: time.Minute, Running: -1,
 	}})
@@ -255,7 +261,7 @@
 	f := newCrashFleet(t, 3)
 	for i := range 50 {
 		f.nodes[0].ticket++
-		f.nodes[0].broker.Release(time.Now(), slots.ReleaseRequest{Release: choose.Release{
+		f.nodes[0].broker.Release(time.Now(), slots.ReleaseRequest{Pool: soukPool, Release: choose.Release{
 			Daemon: "front-0", Ticket: f.nodes[0].ticket, Server: "i-1", Born: 1, Identity: crash.Identity{Caller: crash.Fingerprint(100 + 2*i)},
 			Outcome: choose.ConnectionLost, Loss: choose.LossEnded, Running: -1,
 		}})
--- a/slots/part.go
+++ b/slots/part.go
@@ -40,9 +40,14 @@
 	}
 	var members []topo.Server
 	for _, server := range all {
-		if rank.Score(k.Service, server.ID)%uint64(k.Parts) == uint64(k.Part) {
+		if poolOf(k.Service, server.ID, k.Parts) == k {
 			members = append(members, server)
 		}
 	}
 	return members
 }
+
+// poolOf returns the pool to which a server of a service belongs.
+func poolOf(service, server string, parts int) PoolKey {
+	return PoolKey{Service: service, Part: int(rank.Score(service, server) % uint64(max(parts, 1))), Parts: parts}
+}
