crash, slots, front: an outage with another cause refuses callers for ten seconds only

Cause, from the lines 'crash count changed': a server that ended counted once for each copy of the request that it ran; attempts that were given up up to 20 s before its end counted too; a response that was cut after its head counted as a server that ended; and each end in the first second of the outage took the refusal to its next period (count 4 of /v1/a: five minutes).

--- a/choose/message.go
+++ b/choose/message.go
@@ -99,10 +99,10 @@
 const (
 	// LossNone is a response, or a request that was not sent.
 	LossNone Loss = iota
-	// LossEnded is a connection that the server ended before its complete response.
+	// LossEnded is a connection that the server ended instead of a response.
 	LossEnded
-	// LossSilent is a request that may have run and got no complete response until
-	// the attempt was given up.
+	// LossSilent is a request that may have run and got no complete response: it broke
+	// off, or did not come until the attempt was given up.
 	LossSilent
 )
 
--- a/crash/counter.go
+++ b/crash/counter.go
@@ -28,16 +28,21 @@
 	// minRestartTime is shorter than any restart of a server, so that a response
 	// within it proves that the server did not end.
 	minRestartTime = 500 * time.Millisecond
-	// silenceRetention is how long an attempt without a response, or the end of a
-	// server, waits for the other one to become known.
-	silenceRetention = 20 * time.Second
-	maxSilent        = 8192
 )
 
 // refusalPeriods are how long a request is refused after MaxEnds servers, after one
-// more, and so on. A single copy tests after each period whether it still ends servers.
-// The periods allow three tests a day.
-var refusalPeriods = []time.Duration{30 * time.Second, 10 * time.Minute, 5 * time.Hour, 24 * time.Hour}
+// that ended in a test, and so on. A single copy tests after each period whether it
+// still ends servers. The periods allow three tests a day. The first one is short for
+// the callers that met an outage with another cause.
+var refusalPeriods = []time.Duration{10 * time.Second, 5 * time.Minute, 5 * time.Hour, 24 * time.Hour}
+
+// refusalSpread is by how much the periods of different processes differ at most, as a
+// share, so that their tests of one request don't coincide.
+const refusalSpread = 0.3
+
+// burstTime is how long after a refusal began further ends are of copies that were sent
+// before it, and not of a test.
+const burstTime = 5 * time.Second
 
 // incarnation is one start of a server.
 type incarnation struct {
@@ -57,23 +62,17 @@
 	stored    bool
 }
 
-// count is what is known of one fingerprint.
+// count is what is known of one fingerprint. RefusedAt is when the present period of
+// refusal began, and tests how many have been made, here or elsewhere.
 type count struct {
 	ends         []knownEnd
 	withdrawn    []Attempt
 	lastAt       time.Time
 	tests        int
+	refusedAt    time.Time
 	refusedUntil time.Time
 }
 
-// silentAttempt is an attempt that got no response and whose server may have ended.
-type silentAttempt struct {
-	identity  Identity
-	end       End
-	sentAt    time.Time
-	learnedAt time.Time
-}
-
 // Counter counts the servers that ended while they ran the same request, and decides
 // whether the request may be sent once more. It is not safe for concurrent use.
 type Counter struct {
@@ -83,6 +82,7 @@
 	silent   map[incarnation][]silentAttempt
 	silents  int
 	ended    map[incarnation]time.Time
+	alive    map[incarnation]time.Time
 }
 
 // NewCounter returns a Counter without ends.
@@ -93,6 +93,7 @@
 		suspects: make(map[incarnation]map[Fingerprint]struct{}),
 		silent:   make(map[incarnation][]silentAttempt),
 		ended:    make(map[incarnation]time.Time),
+		alive:    make(map[incarnation]time.Time),
 	}
 }
 
@@ -162,11 +163,11 @@
 	return longest
 }
 
-// refuse starts the next period of refusal. Its length differs from process to process,
-// so that their tests of one request don't coincide.
+// refuse starts the next period of refusal.
 func (c *Counter) refuse(now time.Time, fingerprint Fingerprint, found *count) {
-	next := min(max(len(found.ends)-MaxEnds, found.tests), len(refusalPeriods)-1)
-	spread := float64(maphash.Comparable(c.seed, fingerprint)) / math.MaxUint64
+	next := min(found.tests, len(refusalPeriods)-1)
+	spread := refusalSpread * float64(maphash.Comparable(c.seed, fingerprint)) / math.MaxUint64
+	found.refusedAt = now
 	found.refusedUntil = now.Add(time.Duration(refusalPeriods[next].Seconds() * (1 + spread) * float64(time.Second)))
 }
 
@@ -208,7 +209,7 @@
 		found.ends[at].reported = found.ends[at].reported || end.reported
 		found.ends[at].stored = found.ends[at].stored || end.stored
 		return ChangeNone
-	case slices.Contains(found.withdrawn, end.Attempt), fingerprint.Shared() && found.coincides(end):
+	case slices.Contains(found.withdrawn, end.Attempt), found.coincides(end, fingerprint.Shared()):
 		return ChangeNone
 	}
 	found.ends = append(found.ends, end)
@@ -222,16 +223,32 @@
 	}
 	c.suspects[key][fingerprint] = struct{}{}
 	found.lastAt = now
-	if len(found.ends) >= MaxEnds {
+	c.refuseAfterEnd(now, fingerprint, found)
+	return ChangeCounted
+}
+
+// refuseAfterEnd begins a refusal if there are enough ends. An end that comes long after
+// the last one began is of a test, made by this process or another one.
+func (c *Counter) refuseAfterEnd(now time.Time, fingerprint Fingerprint, found *count) {
+	switch {
+	case len(found.ends) < MaxEnds:
+	case found.refusedAt.IsZero():
+		c.refuse(now, fingerprint, found)
+	case now.Sub(found.refusedAt) > burstTime:
+		found.tests++
 		c.refuse(now, fingerprint, found)
 	}
-	return ChangeCounted
 }
 
-// coincides reports whether the attempt of an end was under way when an earlier end was
-// noticed. Servers that end together end many copies of what several callers send.
-func (c *count) coincides(end knownEnd) bool {
-	return end.reported && slices.ContainsFunc(c.ends, func(k knownEnd) bool { return !end.sentAt.After(k.learnedAt) })
+// coincides reports whether the attempt of an end was under way when an earlier end of
+// the same server, or of any server if that is asked for, was noticed. A server that ends
+// ends all copies that it runs, and servers that end together many of what several
+// callers send.
+func (c *count) coincides(end knownEnd, anyServer bool) bool {
+	return end.reported && slices.ContainsFunc(c.ends, func(k knownEnd) bool {
+		sameServer := k.Server == end.Server && k.Born == end.Born
+		return (anyServer || sameServer) && !end.sentAt.After(k.learnedAt)
+	})
 }
 
 // withdraw removes an end and remembers it, since other daemons may report it later.
@@ -256,6 +273,9 @@
 		}
 	}
 	found.ends = slices.DeleteFunc(found.ends, matches)
+	if len(found.ends) < MaxEnds {
+		found.refusedAt = time.Time{}
+	}
 	return len(found.ends) < before
 }
 
@@ -316,6 +336,9 @@
 // request that was sent at sentAt.
 func (c *Counter) Responded(now time.Time, server string, born int64, openedAt, sentAt time.Time) []Report {
 	key := incarnation{server: server, born: born}
+	if sentAt.After(c.alive[key]) {
+		c.alive[key] = sentAt
+	}
 	var reports []Report
 	for fingerprint := range c.suspects[key] {
 		for _, end := range c.counts[fingerprint].ends {
@@ -337,51 +360,13 @@
 	return openedAt.Before(e.sentAt) || (!e.late && now.Sub(e.learnedAt) < minRestartTime)
 }
 
-// Silent records an attempt that got no complete response. It returns the reports of an
-// end if the server is known to have ended.
-func (c *Counter) Silent(now time.Time, identity Identity, end End, sentAgo time.Duration) []Report {
-	attempt := silentAttempt{identity: identity, end: end, sentAt: now.Add(-sentAgo), learnedAt: now}
-	key := incarnation{server: end.Server, born: end.Born}
-	if _, known := c.ended[key]; known {
-		return attempt.reports(now)
-	}
-	if c.silents < maxSilent {
-		c.silent[key] = append(c.silent[key], attempt)
-		c.silents++
-	}
-	return nil
-}
-
-// EndServer records that a server is gone without notice, or was started again. It
-// returns the reports of the attempts that got no response from it.
-func (c *Counter) EndServer(now time.Time, server string, born int64) []Report {
-	key := incarnation{server: server, born: born}
-	c.ended[key] = now
-	var reports []Report
-	for _, attempt := range c.silent[key] {
-		if now.Sub(attempt.learnedAt) <= silenceRetention {
-			reports = append(reports, attempt.reports(now)...)
-		}
-	}
-	c.silents -= len(c.silent[key])
-	delete(c.silent, key)
-	return reports
-}
-
-func (a silentAttempt) reports(now time.Time) []Report {
-	return EndReports(a.identity, a.end, now.Sub(a.sentAt), true)
-}
-
 // Fingerprints returns the fingerprints that have ended servers, in ascending order.
 func (c *Counter) Fingerprints() []Fingerprint { return slices.Sorted(maps.Keys(c.counts)) }
 
 // Expire drops what is too old and returns the fingerprints that it forgot.
 func (c *Counter) Expire(now time.Time) []Fingerprint {
-	for key, at := range c.ended {
-		if now.Sub(at) > silenceRetention {
-			delete(c.ended, key)
-		}
-	}
+	maps.DeleteFunc(c.ended, func(_ incarnation, at time.Time) bool { return now.Sub(at) > silenceRetention })
+	maps.DeleteFunc(c.alive, func(_ incarnation, at time.Time) bool { return now.Sub(at) > silenceRetention })
 	for key, attempts := range c.silent {
 		kept := slices.DeleteFunc(attempts, func(a silentAttempt) bool { return now.Sub(a.learnedAt) > silenceRetention })
 		c.silents -= len(attempts) - len(kept)
--- a/crash/counter_test.go
+++ b/crash/counter_test.go
@@ -50,6 +50,21 @@
 	}
 }
 
+// TestBurstOfEnds guards against an outage with another cause that keeps callers refused
+// for minutes (seed 932 of the soak): many ends in its first seconds are no failed tests.
+func TestBurstOfEnds(t *testing.T) {
+	t.Parallel()
+	counter := crash.NewCounter()
+	now := time.Now()
+	for ticket := range uint64(8) {
+		counter.Apply(now.Add(time.Duration(ticket)*100*time.Millisecond), ended(ticket))
+	}
+	const longest = 15 * time.Second
+	if refused := counter.Refused(now.Add(time.Second), identity); refused <= 0 || refused > longest {
+		t.Errorf("refused for %s, want at most %s", refused, longest)
+	}
+}
+
 // TestTestWithoutOutcome guards against tests that follow each other because the
 // outcome of a test never came.
 func TestTestWithoutOutcome(t *testing.T) {
@@ -108,6 +123,33 @@
 	}
 }
 
+// TestCopiesOfOneServer guards against callers that are refused because one server ended
+// while it ran several copies of what they send (seed 931 of the soak).
+func TestCopiesOfOneServer(t *testing.T) {
+	t.Parallel()
+	counter := crash.NewCounter()
+	now := time.Now()
+	for ticket := range uint64(5) {
+		end := newEnd(ticket)
+		end.Server = "i-1"
+		for _, report := range crash.EndReports(identity, end, time.Second, false) {
+			counter.Apply(now.Add(time.Duration(ticket)*time.Millisecond), report)
+		}
+	}
+	if ends := counter.Ends(fingerprint); ends != 1 {
+		t.Errorf("%d ends, want one", ends)
+	}
+	again := newEnd(9)
+	again.Server = "i-1"
+	now = now.Add(time.Second)
+	for _, report := range crash.EndReports(identity, again, 100*time.Millisecond, false) {
+		counter.Apply(now, report)
+	}
+	if ends := counter.Ends(fingerprint); ends != 2 {
+		t.Errorf("%d ends after a request that was sent later, want two", ends)
+	}
+}
+
 // TestServersEndTogether guards against a refusal of what many callers send because
 // several servers ended at once while they ran it, and against a request that is not
 // counted because another caller sends it each time.
@@ -198,6 +240,11 @@
 			counter.Silent(now, identity, end, time.Second)
 			return counter.EndServer(now.Add(time.Minute), end.Server, end.Born)
 		}},
+		{name: "response after the attempt, then the end", play: func(counter *crash.Counter, now time.Time, end crash.End) []crash.Report {
+			counter.Silent(now, identity, end, time.Second)
+			counter.Responded(now.Add(2*time.Second), end.Server, end.Born, now, now.Add(time.Second))
+			return counter.EndServer(now.Add(5*time.Second), end.Server, end.Born)
+		}},
 		{name: "end noticed after the attempt", ends: 1, play: func(counter *crash.Counter, now time.Time, end crash.End) []crash.Report {
 			counter.Silent(now, identity, end, time.Second)
 			return counter.EndServer(now.Add(5*time.Second), end.Server, end.Born)
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -102,6 +102,20 @@
 	return res
 }
 
+// responseCut releases the lease of an attempt whose response broke off after its head.
+// The server may have ended, or may just respond badly.
+func (h *Handler) responseCut(ctx context.Context, lease *slots.Lease, err error, elapsed time.Duration) attemptResult {
+	res := attemptResult{failed: true, failure: Unknown, outcome: choose.ConnectionLost, err: err}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		res.outcome = choose.TimedOut
+	case ctx.Err() != nil:
+		res.outcome = choose.Cancelled
+	}
+	h.release(lease, choose.Release{Outcome: res.outcome, Loss: choose.LossSilent, Duration: elapsed}, proto.Report{Running: -1})
+	return res
+}
+
 // lossOf returns how the response of an attempt failed to arrive. A malformed response
 // is none: the server that sent it has not ended.
 func lossOf(ctx context.Context, err *upconn.ConnError) choose.Loss {
@@ -128,7 +142,7 @@
 	resp.buffered = buffered
 	if err != nil {
 		conn.Close()
-		return h.connectionFailed(ctx, lease, &upconn.ConnError{Written: true, Err: err}, time.Since(sent))
+		return h.responseCut(ctx, lease, err, time.Since(sent))
 	}
 	res := classify(resp, report)
 	if len(buffered) < maxBuffered {
@@ -161,7 +175,7 @@
 		release.Outcome, release.Loss = choose.Cancelled, choose.LossSilent
 	default:
 		conn.Close()
-		release.Outcome, release.Loss = choose.ConnectionLost, lossOf(ctx, &upconn.ConnError{Written: true, Err: err})
+		release.Outcome, release.Loss = choose.ConnectionLost, choose.LossSilent
 	}
 	h.release(lease, release, report)
 }
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -118,10 +118,15 @@
 	return pool.Choose(now, request.Ask)
 }
 
-// Release ends an attempt. It ignores attempts of pools that don't exist, except for
-// what they say of crashes.
+// Release ends an attempt.
 func (b *Broker) Release(now time.Time, request ReleaseRequest) {
 	b.crashes.Released(now, request.Pool.Service, request.Release)
+	b.releaseServer(now, request)
+}
+
+// releaseServer ends an attempt in its pool. It ignores attempts of pools that don't
+// exist.
+func (b *Broker) releaseServer(now time.Time, request ReleaseRequest) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if pool, known := b.pools[request.Pool]; known {
--- a/slots/client.go
+++ b/slots/client.go
@@ -125,13 +125,14 @@
 	release.Server, release.Born = lease.Server.ID, lease.Server.Born
 	request := ReleaseRequest{Pool: lease.Pool, Release: release}
 	now := time.Now()
+	c.broker.crashes.Released(now, lease.Pool.Service, release)
 	// The fallback also gets every outcome, so that its estimates are current
 	// when it is needed. It ignores outcomes of a pool until its first ask creates it.
-	c.fallback.Release(now, request)
+	c.fallback.releaseServer(now, request)
 	switch {
 	case lease.Fallback:
 	case lease.Broker.Name == "":
-		c.broker.Release(now, request)
+		c.broker.releaseServer(now, request)
 	default:
 		wire.Notify[ReleaseRequest, Empty](c.peers, lease.Broker.Address, releaseMethod, request)
 	}
--- a/slots/crashes_test.go
+++ b/slots/crashes_test.go
@@ -188,7 +188,7 @@
 				f.start(t, fmt.Sprintf("front-%d", i))
 			}
 			f.publish()
-			f.nodes[2].lose("i-1")
+			f.nodes[2].lose("i-3")
 		}},
 		{name: "daemon that counted restarts after each end", play: func(t *testing.T, f *crashFleet) {
 			for i := range 3 {
@@ -202,12 +202,12 @@
 		}},
 		{name: "two services in turn", play: func(_ *testing.T, f *crashFleet) {
 			for i := range 4 {
-				f.nodes[i].loseIn([]string{service, "caisse"}[i%2], "i-1")
+				f.nodes[i].loseIn([]string{service, "caisse"}[i%2], fmt.Sprintf("i-%d", i))
 			}
 		}},
 		{name: "each end seen by another daemon", play: func(_ *testing.T, f *crashFleet) {
 			for i := range 3 {
-				f.nodes[i].lose("i-1")
+				f.nodes[i].lose(fmt.Sprintf("i-%d", i))
 			}
 		}},
 	} {
@@ -241,15 +241,17 @@
 	t.Parallel()
 	f := newCrashFleet(t, 6)
 	for i := range 3 {
-		release := f.nodes[i].lose("i-1")
+		release := f.nodes[i].lose(fmt.Sprintf("i-%d", i))
 		f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Pool: soukPool, Release: release})
 	}
 	f.waitRefused(t, true)
 	time.Sleep(20 * time.Millisecond)
-	f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Pool: soukPool, Release: choose.Release{
-		Daemon: "front-5", Ticket: 1, Server: "i-1", Born: 1, Identity: crash.Identity{Caller: crashing + 2}, Outcome: choose.Served,
-		Duration: 10 * time.Millisecond, ConnAge: time.Minute, Running: -1,
-	}})
+	for i := range 3 {
+		f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Pool: soukPool, Release: choose.Release{
+			Daemon: "front-5", Ticket: 1, Server: fmt.Sprintf("i-%d", i), Born: 1, Identity: crash.Identity{Caller: crashing + 2},
+			Outcome: choose.Served, Duration: 10 * time.Millisecond, ConnAge: time.Minute, Running: -1,
+		}})
+	}
 	f.waitRefused(t, false)
 	f.waitStored(t, 0)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,12 @@
 		// The soak waited forever for a daemon that got SIGTERM before it had installed its
 		// signal handler.
 		{name: "stopped right after its start", seed: 443, rounds: 3, daemons: 4},
+		// Servers that ended while they ran several copies of what callers send counted
+		// once for each copy, so that harmless requests were refused for up to a minute.
+		{name: "servers end with many copies", seed: 931, rounds: 2, daemons: 4},
+		// All servers cut their responses, which counted as servers that ended; each end of
+		// the outage's first second prolonged the refusal, to five minutes.
+		{name: "all responses cut", seed: 932, rounds: 3, daemons: 4},
 		{name: "short run", seed: 1, rounds: 2, daemons: 3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
