crash, slots: a process that starts anew heeds the tests of others

Read while checking the diff for ways past the limit: each process counted its own tests of a refused request, so one that was started after the third end would test ten seconds later, and with daemons restarted in turn the three retries that the rule allows could be exceeded. The fleet's record now holds the number of tests, and a test is stored when it begins. TestTestsOfOthers (failed before: refused for 10 s instead of 5 min and 24 h, as the record had no tests), TestCrashes.

--- a/crash/counter.go
+++ b/crash/counter.go
@@ -105,10 +105,11 @@
 	return 0
 }
 
-// Record returns the ends of a fingerprint.
+// Record returns what is known of a fingerprint.
 func (c *Counter) Record(fingerprint Fingerprint) Record {
 	var record Record
 	if found, known := c.counts[fingerprint]; known {
+		record.Tests = found.tests
 		for _, end := range found.ends {
 			record.Ends = append(record.Ends, end.End)
 		}
@@ -328,6 +329,10 @@
 		for _, end := range record.Ends {
 			c.add(now, fingerprint, knownEnd{End: end, learnedAt: now, late: true, stored: true})
 		}
+		if found, known := c.counts[fingerprint]; known && record.Tests > found.tests {
+			found.tests = record.Tests
+			c.refuse(now, fingerprint, found)
+		}
 	}
 }
 
--- a/crash/counter_test.go
+++ b/crash/counter_test.go
@@ -297,6 +297,32 @@
 	check("record removed", 1)
 }
 
+// TestTestsOfOthers guards against a process that is started anew and tests a request too
+// early: it learns of the tests of others from the fleet's record.
+func TestTestsOfOthers(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name     string
+		tests    int
+		shortest time.Duration
+	}{
+		{name: "none", shortest: 10 * time.Second},
+		{name: "one", tests: 1, shortest: 5 * time.Minute},
+		{name: "three", tests: 3, shortest: 24 * time.Hour},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			counter := crash.NewCounter()
+			now := time.Now()
+			record := crash.Record{Ends: []crash.End{newEnd(1), newEnd(2), newEnd(3), newEnd(4)}, Tests: test.tests}
+			counter.SetStored(now, map[crash.Fingerprint]crash.Record{fingerprint: record})
+			if refused := counter.Refused(now, identity); refused < test.shortest {
+				t.Errorf("refused for %s, want at least %s", refused, test.shortest)
+			}
+		})
+	}
+}
+
 // TestReportOrder checks that two processes that get the same reports, in any order and
 // some of them twice, know the same ends.
 func TestReportOrder(t *testing.T) {
--- a/crash/end.go
+++ b/crash/end.go
@@ -1,6 +1,9 @@
 package crash
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Attempt identifies one attempt of a request: the daemon that made it and its number
 // there.
@@ -18,8 +21,17 @@
 	Born    int64
 }
 
-// Record lists the ends of one fingerprint, as the fleet stores them.
-type Record struct{ Ends []End }
+// Record holds the ends of one fingerprint and how often it was tested whether it still
+// ends servers, as the fleet stores them.
+type Record struct {
+	Ends  []End
+	Tests int
+}
+
+// Equal reports whether two records are the same.
+func (r Record) Equal(other Record) bool {
+	return r.Tests == other.Tests && slices.Equal(r.Ends, other.Ends)
+}
 
 // Kind is what a report says about a fingerprint.
 type Kind uint8
--- a/feed/view.go
+++ b/feed/view.go
@@ -85,7 +85,7 @@
 }
 
 func hashCrash(fingerprint string, record crash.Record) uint64 {
-	return xxhash.Sum64String(fmt.Sprint(fingerprint, record.Ends))
+	return xxhash.Sum64String(fmt.Sprint(fingerprint, record.Ends, record.Tests))
 }
 
 // applyConfig stores a configuration if it is newer than the current one and
@@ -108,7 +108,7 @@
 }
 
 func (s *state) applyCrashes(changes []topo.Change[crash.Record], complete bool) bool {
-	return applyChanges(s.crashes, changes, complete, func(a, b crash.Record) bool { return slices.Equal(a.Ends, b.Ends) })
+	return applyChanges(s.crashes, changes, complete, crash.Record.Equal)
 }
 
 // applyChanges applies changes to a table and reports whether its contents
--- a/slots/crash_share.go
+++ b/slots/crash_share.go
@@ -172,16 +172,15 @@
 }
 
 // nextRecord returns what the stored record of a fingerprint is to be replaced by, and
-// whether it is: it may lack an end, or, on the first home, have to go because too few
+// whether it is: it may lack an end or a test, or, on the first home, have to go because too few
 // are left.
 func (c *Crashes) nextRecord(fingerprint crash.Fingerprint) (crash.Record, bool) {
-	known, stored := c.counter.Record(fingerprint), c.stored[fingerprint].Ends
-	switch {
-	case len(known.Ends) >= storedEnds:
-		return known, slices.ContainsFunc(known.Ends, func(e crash.End) bool { return !slices.Contains(stored, e) })
-	default:
-		return crash.Record{}, len(stored) > 0 && c.homeRank(fingerprint) == 0
+	known, stored := c.counter.Record(fingerprint), c.stored[fingerprint]
+	if len(known.Ends) < storedEnds {
+		return crash.Record{}, len(stored.Ends) > 0 && c.homeRank(fingerprint) == 0
 	}
+	lacksEnd := slices.ContainsFunc(known.Ends, func(e crash.End) bool { return !slices.Contains(stored.Ends, e) })
+	return known, lacksEnd || known.Tests > stored.Tests
 }
 
 // Run sends reports, stores what is due and drops old counts until the context ends.
--- a/slots/crashes.go
+++ b/slots/crashes.go
@@ -72,7 +72,13 @@
 ) (wait time.Duration, admitted bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.counter.Admit(now, identity, inFlight)
+	wait, admitted = c.counter.Admit(now, identity, inFlight)
+	for _, fingerprint := range identity.Fingerprints() {
+		if admitted && c.counter.Ends(fingerprint) >= crash.MaxEnds {
+			c.schedule(now, fingerprint)
+		}
+	}
+	return wait, admitted
 }
 
 // SetView learns from a view which servers ended and what the fleet has stored.
