crash, slots: a success ends a refusal for good

Cause, from the log lines: the success cleared the count, but the next view, half a second before the stored record was due to be removed, brought the stored ends back, so that the record was never removed. Ends that a success clears are now remembered as those that are withdrawn are, and a record that has to go goes at once. The first refusal lasts 8 to 10 s.

--- a/crash/counter.go
+++ b/crash/counter.go
@@ -34,7 +34,7 @@
 // that ended in a test, and so on. A single copy tests after each period whether it
 // still ends servers. The periods allow three tests a day. The first one is short for
 // the callers that met an outage with another cause.
-var refusalPeriods = []time.Duration{10 * time.Second, 5 * time.Minute, 5 * time.Hour, 24 * time.Hour}
+var refusalPeriods = []time.Duration{8 * time.Second, 5 * time.Minute, 5 * time.Hour, 24 * time.Hour}
 
 // refusalSpread is by how much the periods of different processes differ at most, as a
 // share, so that their tests of one request don't coincide.
@@ -181,8 +181,7 @@
 			End: report.End, sentAt: now.Add(-report.SentAgo), learnedAt: now, late: report.Late, reported: true,
 		})
 	case Succeeded:
-		if found, known := c.counts[report.Fingerprint]; known && len(found.ends) > 0 {
-			c.remove(report.Fingerprint)
+		if c.clear(report.Fingerprint) {
 			change = ChangeCleared
 		}
 	case Withdrawn:
@@ -258,13 +257,32 @@
 	if !known {
 		return false
 	}
-	if !slices.Contains(found.withdrawn, end.Attempt) {
-		found.withdrawn = append(found.withdrawn, end.Attempt)
-		found.withdrawn = found.withdrawn[max(len(found.withdrawn)-maxWithdrawn, 0):]
-	}
+	found.forget(end.Attempt)
 	return c.removeEnds(fingerprint, found, func(k knownEnd) bool { return k.Attempt == end.Attempt })
 }
 
+// clear removes all ends of a fingerprint after a success, and reports whether there were
+// any. They are remembered, since the fleet's record lists them for a while.
+func (c *Counter) clear(fingerprint Fingerprint) bool {
+	found, known := c.counts[fingerprint]
+	if !known {
+		return false
+	}
+	for _, end := range found.ends {
+		found.forget(end.Attempt)
+	}
+	found.tests = 0
+	return c.removeEnds(fingerprint, found, func(knownEnd) bool { return true })
+}
+
+// forget remembers that the end of an attempt does not count.
+func (c *count) forget(attempt Attempt) {
+	if !slices.Contains(c.withdrawn, attempt) {
+		c.withdrawn = append(c.withdrawn, attempt)
+		c.withdrawn = c.withdrawn[max(len(c.withdrawn)-maxWithdrawn, 0):]
+	}
+}
+
 // removeEnds removes the ends that match and reports whether there were any.
 func (c *Counter) removeEnds(fingerprint Fingerprint, found *count, matches func(end knownEnd) bool) bool {
 	before := len(found.ends)
@@ -329,7 +347,7 @@
 		for _, end := range record.Ends {
 			c.add(now, fingerprint, knownEnd{End: end, learnedAt: now, late: true, stored: true})
 		}
-		if found, known := c.counts[fingerprint]; known && record.Tests > found.tests {
+		if found, known := c.counts[fingerprint]; known && len(found.ends) >= MaxEnds && record.Tests > found.tests {
 			found.tests = record.Tests
 			c.refuse(now, fingerprint, found)
 		}
--- a/slots/crash_share.go
+++ b/slots/crash_share.go
@@ -156,7 +156,7 @@
 		return
 	}
 	delay := time.Duration(0)
-	if c.counter.Ends(fingerprint) < crash.MaxEnds {
+	if ends := c.counter.Ends(fingerprint); ends >= storedEnds && ends < crash.MaxEnds {
 		delay = proofDelay
 	}
 	if c.homeRank(fingerprint) > 0 {
--- a/slots/crashes_test.go
+++ b/slots/crashes_test.go
@@ -275,3 +275,25 @@
 		t.Errorf("%d calls to the store", f.puts)
 	}
 }
+
+// TestSuccessEndsRefusal guards against a request that stays refused after a test has
+// shown that it is harmless (seed 1034 of the soak): views that still have the stored
+// record must not bring it back.
+func TestSuccessEndsRefusal(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 6)
+	for i := range 3 {
+		f.nodes[i].lose(fmt.Sprintf("i-%d", i))
+	}
+	f.waitRefused(t, true)
+	f.nodes[4].broker.Release(time.Now(), slots.ReleaseRequest{Pool: soukPool, Release: choose.Release{
+		Daemon: "front-4", Ticket: 1, Server: "i-9", Born: 1, Identity: crash.Identity{Caller: crashing},
+		Outcome: choose.Served, Duration: 10 * time.Millisecond, Running: -1,
+	}})
+	for range 20 {
+		f.publish()
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.waitRefused(t, false)
+	f.waitStored(t, 0)
+}
