--- a/front/handler.go
+++ b/front/handler.go
@@ -70,7 +70,7 @@
 	case response != nil:
 		h.forward(w, e, response)
 	case errors.Is(r.Context().Err(), context.Canceled):
-		h.logAborted(e, "caller left")
+		h.logAborted(e, context.Cause(r.Context()).Error())
 		panic(http.ErrAbortHandler)
 	default:
 		h.respondLocally(w, e, local)
--- a/httpd/framing.go
+++ b/httpd/framing.go
@@ -140,7 +140,7 @@
 	if !isReadAhead {
 		return ctx
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	readAhead.setOnDisconnect(cancel)
 	return ctx
 }
--- a/httpd/limits.go
+++ b/httpd/limits.go
@@ -64,6 +64,17 @@
 // the limits allow.
 func (s *Server) CloseExpired(now time.Time, limits Limits) {
 	for _, conn := range s.conns.expired(now, limits) {
-		_ = conn.Close()
+		closeExpired(conn)
 	}
 }
+
+// closeExpired closes a connection with ErrIdle as the cause, if it keeps one.
+func closeExpired(conn net.Conn) {
+	if framed, isFramed := conn.(*framingConn); isFramed {
+		if readAhead, isReadAhead := framed.Conn.(*readAheadConn); isReadAhead {
+			readAhead.closeFor(ErrIdle)
+			return
+		}
+	}
+	_ = conn.Close()
+}
--- a/httpd/readahead.go
+++ b/httpd/readahead.go
@@ -25,7 +25,8 @@
 	err          error
 	deadline     time.Time
 	timer        *time.Timer
-	onDisconnect context.CancelFunc
+	closed       error
+	onDisconnect context.CancelCauseFunc
 	readLoopDone chan struct{}
 }
 
@@ -57,7 +58,7 @@
 	if err != nil {
 		c.err = err
 		if c.onDisconnect != nil {
-			c.onDisconnect()
+			c.onDisconnect(c.endCause())
 		}
 	}
 	c.changed.Broadcast()
@@ -69,15 +70,33 @@
 
 // setOnDisconnect sets the function that is called when the caller's connection
 // ends, or calls it at once if the connection has ended already.
-func (c *readAheadConn) setOnDisconnect(onDisconnect context.CancelFunc) {
+func (c *readAheadConn) setOnDisconnect(onDisconnect context.CancelCauseFunc) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.onDisconnect = onDisconnect
 	if c.err != nil {
-		onDisconnect()
+		onDisconnect(c.endCause())
 	}
 }
 
+// endCause returns why the connection ended.
+func (c *readAheadConn) endCause() error {
+	if c.closed != nil {
+		return c.closed
+	}
+	return ErrCallerLeft
+}
+
+// closeFor closes the connection for a cause.
+func (c *readAheadConn) closeFor(cause error) {
+	c.mutex.Lock()
+	if c.closed == nil && c.err == nil {
+		c.closed = cause
+	}
+	c.mutex.Unlock()
+	_ = c.Close()
+}
+
 // Read returns data that was read ahead, or blocks until there is some.
 func (c *readAheadConn) Read(data []byte) (int, error) {
 	c.mutex.Lock()
@@ -130,6 +149,11 @@
 
 // Close closes the connection and waits for the read loop to end.
 func (c *readAheadConn) Close() error {
+	c.mutex.Lock()
+	if c.closed == nil && c.err == nil {
+		c.closed = ErrServerClosed
+	}
+	c.mutex.Unlock()
 	err := c.Conn.Close()
 	c.mutex.Lock()
 	if c.err == nil {
