--- /dev/null
+++ b/httpd/idle_test.go
@@ -0,0 +1,205 @@
+package httpd_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandeliondoor/httpd"
+	"dandeliondoor/kernel"
+)
+
+const shortRequest = "GET / HTTP/1.1\r\nHost: souk.example\r\n\r\n"
+
+// TestRequestAsConnectionExpires sends requests just as their connection has been idle
+// for too long. It guards against a connection that is closed as idle while a request
+// on it is being handled, which then ends without a response.
+func TestRequestAsConnectionExpires(t *testing.T) {
+	t.Parallel()
+	const (
+		callers, requests = 400, 8
+		handlerTime       = 20 * time.Millisecond
+		idleLimit         = 60 * time.Millisecond
+		sweepInterval     = 3 * time.Millisecond
+	)
+	var handled atomic.Int64
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) {
+		handled.Add(1)
+		time.Sleep(handlerTime)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	swept := kernel.Run(ctx, func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			server.CloseExpired(time.Now(), httpd.Limits{IdleTimeout: idleLimit})
+			time.Sleep(sweepInterval)
+		}
+		return nil
+	})
+	var answered atomic.Int64
+	var workers sync.WaitGroup
+	for i := range callers {
+		workers.Go(func() {
+			pause := idleLimit + time.Duration(i%7)*time.Millisecond
+			answered.Add(int64(sendUntilClosed(t, address, requests, pause)))
+		})
+	}
+	workers.Wait()
+	cancel()
+	<-swept
+	if handled.Load() != answered.Load() {
+		t.Errorf("%d of %d requests that were handled got no response", handled.Load()-answered.Load(), handled.Load())
+	}
+}
+
+// sendUntilClosed sends requests over one connection, each a pause after the last
+// response, until the connection is closed, and returns the number of responses.
+func sendUntilClosed(t *testing.T, address string, requests int, pause time.Duration) int {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for answered := range requests {
+		if _, err := io.WriteString(conn, shortRequest); err != nil {
+			return answered
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return answered
+		}
+		response.Body.Close()
+		time.Sleep(pause)
+	}
+	return requests
+}
+
+// TestRequestDuringSweep sends a request while another connection is being closed as
+// idle. It guards against a sweep that closes connections by a list that it made
+// before, without looking whether they are still idle.
+func TestRequestDuringSweep(t *testing.T) {
+	t.Parallel()
+	listener := &slowCloseListener{closing: make(chan struct{}, 2), proceed: make(chan struct{})}
+	inHandler := make(chan struct{}, 1)
+	var later atomic.Bool
+	server, address := startServerOn(t, listener, func(http.ResponseWriter, *http.Request) {
+		if later.Load() {
+			inHandler <- struct{}{}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	var readers [2]*bufio.Reader
+	var conns [2]net.Conn
+	for i := range conns {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns[i], readers[i] = conn, bufio.NewReader(conn)
+		if _, err := io.WriteString(conn, shortRequest); err != nil {
+			t.Fatal(err)
+		}
+		readResponse(t, readers[i])
+	}
+	time.Sleep(20 * time.Millisecond)
+	later.Store(true)
+	swept := make(chan struct{})
+	go func() {
+		defer close(swept)
+		server.CloseExpired(time.Now().Add(time.Hour), httpd.Limits{IdleTimeout: time.Minute})
+	}()
+	<-listener.closing
+	open := 1 - listener.closed()
+	if _, err := io.WriteString(conns[open], shortRequest); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-inHandler:
+	case <-time.After(time.Second):
+		close(listener.proceed)
+		<-swept
+		return // The connection was closed before the request came.
+	}
+	close(listener.proceed)
+	<-swept
+	if _, err := http.ReadResponse(readers[open], nil); err != nil {
+		t.Errorf("the request was handled and got no response: %v", err)
+	}
+}
+
+// slowCloseListener accepts connections whose Close reports that it was called and then
+// waits.
+type slowCloseListener struct {
+	net.Listener
+
+	accepted atomic.Int32
+	first    atomic.Int32
+	closing  chan struct{}
+	proceed  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *slowCloseListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowCloseConn{Conn: conn, listener: l, number: l.accepted.Add(1)}, nil
+}
+
+// closed returns the index of the connection that was closed first.
+func (l *slowCloseListener) closed() int { return int(l.first.Load()) - 1 }
+
+type slowCloseConn struct {
+	net.Conn
+
+	listener *slowCloseListener
+	number   int32
+}
+
+// Close implements net.Conn.
+func (c *slowCloseConn) Close() error {
+	if c.listener.first.CompareAndSwap(0, c.number) {
+		c.listener.closing <- struct{}{}
+	}
+	<-c.listener.proceed
+	return c.Conn.Close()
+}
+
+// startServer serves with read-ahead until the test ends and returns the server and its
+// address.
+func startServer(t *testing.T, handler http.HandlerFunc) (*httpd.Server, string) {
+	t.Helper()
+	return startServerOn(t, nil, handler)
+}
+
+func startServerOn(t *testing.T, slow *slowCloseListener, handler http.HandlerFunc) (*httpd.Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if slow != nil {
+		slow.Listener = listener
+		listener = slow
+	}
+	server := httpd.NewServer(listener, handler, httpd.WithReadAhead())
+	ctx, cancel := context.WithCancel(context.Background())
+	served := kernel.Run(ctx, server.Serve)
+	t.Cleanup(func() {
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return server, address
+}
