httpd: a connection itself decides whether it may be closed as idle

Cause: connTracker.expired made a list of idle connections, and they were closed after it, one after another; and net/http calls a connection idle until the whole head of the next request has been parsed, while the read-ahead may have taken it from the socket. The knowledge and the close were two steps, in two places.

Change: callerConn replaces framingConn and readAheadConn. Under its mutex it knows whether a byte has come since the last response: nothing unread, the parser between two requests, and as many responses finished as heads parsed. It closes itself only then, and only if the socket holds nothing either. A head that is incomplete has the header timeout from its first byte. Requests that were read and never handled are logged and counted by the cause of the end.

Ruled out: checking the state once more before the close (the gap stays, if smaller).

--- a/front/service.go
+++ b/front/service.go
@@ -45,7 +45,8 @@
 // connections for balancerLag after the daemon stops being ready.
 func NewService(listener net.Listener, handler *Handler, balancerLag time.Duration, log *logrus.Entry) *Service {
 	s := &Service{handler: handler, balancerLag: balancerLag, log: log}
-	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve), httpd.WithReadAhead(), httpd.WithMaxHeaderBytes(maxHeaderBytes))
+	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve),
+		httpd.WithReadAhead(), httpd.WithMaxHeaderBytes(maxHeaderBytes), httpd.WithUnhandled(s.recordUnhandled))
 	return s
 }
 
@@ -75,10 +76,12 @@
 			return nil
 		case now := <-ticker.C:
 			view := s.handler.views.View()
+			var limits httpd.Limits
 			if view.Table != nil {
-				limits := view.Table.Config.Limits
-				s.server.CloseExpired(now, httpd.Limits{HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout})
+				configured := view.Table.Config.Limits
+				limits = httpd.Limits{HeaderTimeout: configured.HeaderTimeout, IdleTimeout: configured.IdleTimeout}
 			}
+			s.server.CloseExpired(now, limits)
 			s.handler.conns.CloseStale(now, func(target upconn.Target) bool {
 				server, known := view.Servers[target.ID]
 				return known && server.Born == target.StartTime && !server.Draining
@@ -87,6 +90,13 @@
 	}
 }
 
+// recordUnhandled records requests that were read and got no response, because their
+// connection ended before they could be handled.
+func (s *Service) recordUnhandled(count int, cause error) {
+	s.handler.metrics.unhandled.WithLabelValues(cause.Error()).Add(float64(count))
+	s.log.WithField("requests", count).WithField("end", cause.Error()).Info("connection ended with unhandled requests")
+}
+
 // Draining reports whether the balancer should stop sending requests.
 func (s *Service) Draining() bool { return s.draining.Load() }
 
--- a/httpd/abort.go
+++ b/httpd/abort.go
@@ -13,7 +13,11 @@
 	if err != nil {
 		return err
 	}
-	if tcp, isTCP := underlying(conn).(*net.TCPConn); isTCP {
+	underlying := conn
+	if caller, isCaller := conn.(*callerConn); isCaller {
+		underlying = caller.Conn
+	}
+	if tcp, isTCP := underlying.(*net.TCPConn); isTCP {
 		// Without lingering, closing a connection resets it.
 		if err := tcp.SetLinger(0); err != nil {
 			_ = conn.Close()
@@ -22,17 +26,3 @@
 	}
 	return conn.Close()
 }
-
-// underlying returns the connection that a listener of this package has wrapped.
-func underlying(conn net.Conn) net.Conn {
-	for {
-		switch wrapped := conn.(type) {
-		case *framingConn:
-			conn = wrapped.Conn
-		case *readAheadConn:
-			conn = wrapped.Conn
-		default:
-			return conn
-		}
-	}
-}
--- /dev/null
+++ b/httpd/caller_conn.go
@@ -0,0 +1,280 @@
+package httpd
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"dandeliondoor/dialer"
+)
+
+// maxReadAhead is the size of unread data at which reading ahead pauses. During the
+// pause a disconnect isn't noticed.
+const maxReadAhead = 64 << 10
+
+// callerConn is the connection of a caller. It knows whether a byte has come since the
+// last response, and closes itself for want of a request only if none has: that decision
+// and the close are one step under its mutex. net/http calls a connection idle until it
+// has parsed the whole head of the next request.
+//
+// With read-ahead, it reads from the network before Read asks for data. This detects
+// that the caller has closed the connection while a request is being handled, even if
+// pipelined requests follow it.
+type callerConn struct {
+	net.Conn
+
+	readLoopDone chan struct{}
+
+	mutex        sync.Mutex
+	changed      *sync.Cond
+	parser       framingParser
+	unread       []byte
+	err          error
+	deadline     time.Time
+	timer        *time.Timer
+	onDisconnect context.CancelCauseFunc
+	closeCause   error
+
+	handled      int
+	finished     int
+	waitingSince time.Time
+	headSince    time.Time
+}
+
+func newCallerConn(now time.Time, conn net.Conn, readAhead bool) *callerConn {
+	c := &callerConn{Conn: conn, waitingSince: now}
+	c.changed = sync.NewCond(&c.mutex)
+	if readAhead {
+		c.readLoopDone = make(chan struct{})
+		go c.readLoop()
+	}
+	return c
+}
+
+// readLoop reads until the connection fails or is closed.
+func (c *callerConn) readLoop() {
+	defer close(c.readLoopDone)
+	buffer := make([]byte, 4<<10)
+	for {
+		count, err := c.Conn.Read(buffer)
+		if !c.push(buffer[:count], err) {
+			return
+		}
+	}
+}
+
+// push stores the result of a read, blocks while there is too much unread data,
+// and reports whether to continue reading.
+func (c *callerConn) push(data []byte, err error) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.err != nil {
+		return false
+	}
+	c.unread = append(c.unread, data...)
+	if err != nil {
+		c.end(err)
+	}
+	c.changed.Broadcast()
+	for c.err == nil && len(c.unread) >= maxReadAhead {
+		c.changed.Wait()
+	}
+	return c.err == nil
+}
+
+// end records that the connection ended, and tells the handler of a request why.
+func (c *callerConn) end(err error) {
+	c.err = err
+	if c.onDisconnect != nil {
+		c.onDisconnect(c.endCause())
+	}
+	c.changed.Broadcast()
+}
+
+func (c *callerConn) endCause() error {
+	if c.closeCause != nil {
+		return c.closeCause
+	}
+	return ErrCallerLeft
+}
+
+// setOnDisconnect sets the function that is called when the connection ends, or calls
+// it at once if that has happened already.
+func (c *callerConn) setOnDisconnect(onDisconnect context.CancelCauseFunc) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.onDisconnect = onDisconnect
+	if c.err != nil {
+		onDisconnect(c.endCause())
+	}
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(data []byte) (int, error) {
+	if c.readLoopDone == nil {
+		return c.readDirectly(data)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for len(c.unread) == 0 {
+		switch {
+		case c.err != nil:
+			return 0, c.err
+		case c.deadlineExceeded(time.Now()):
+			return 0, os.ErrDeadlineExceeded
+		}
+		c.changed.Wait()
+	}
+	count := copy(data, c.unread)
+	c.unread = c.unread[count:]
+	if len(c.unread) == 0 {
+		c.unread = nil
+	}
+	c.parse(time.Now(), data[:count])
+	c.changed.Broadcast()
+	return count, nil
+}
+
+func (c *callerConn) readDirectly(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.err != nil {
+		return 0, c.err
+	}
+	c.parse(time.Now(), data[:count])
+	return count, err
+}
+
+// parse processes data that net/http gets.
+func (c *callerConn) parse(now time.Time, data []byte) {
+	wasInHead, heads := c.parser.inHead, c.parser.heads
+	c.parser.parse(data)
+	if c.parser.inHead && (!wasInHead || c.parser.heads > heads) {
+		c.headSince = now
+	}
+}
+
+func (c *callerConn) deadlineExceeded(now time.Time) bool {
+	return !c.deadline.IsZero() && !now.Before(c.deadline)
+}
+
+// SetReadDeadline sets the deadline of Read. Reading ahead has no deadline.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	if c.readLoopDone == nil {
+		return c.Conn.SetReadDeadline(deadline)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.deadline = deadline
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	if left := time.Until(deadline); !deadline.IsZero() && left > 0 {
+		c.timer = time.AfterFunc(left, c.wakeReaders)
+	}
+	c.changed.Broadcast()
+	return nil
+}
+
+// SetDeadline sets the deadline of Read and Write.
+func (c *callerConn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// wakeReaders makes blocked calls of Read check the deadline.
+func (c *callerConn) wakeReaders() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.changed.Broadcast()
+}
+
+// Close closes the connection and waits for the read loop to end.
+func (c *callerConn) Close() error {
+	c.mutex.Lock()
+	c.closeFor(ErrServerClosed)
+	c.mutex.Unlock()
+	err := c.Conn.Close()
+	if c.readLoopDone != nil {
+		<-c.readLoopDone
+	}
+	return err
+}
+
+// closeFor marks the connection as closed for a cause, unless it has ended already.
+func (c *callerConn) closeFor(cause error) {
+	if c.err != nil {
+		return
+	}
+	c.closeCause = cause
+	c.end(io.EOF)
+}
+
+// beginRequest records that a request is passed to the handler.
+func (c *callerConn) beginRequest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.handled++
+}
+
+// finishResponse records that a response is complete.
+func (c *callerConn) finishResponse(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.finished++
+	c.waitingSince = now
+}
+
+// unhandled returns how many requests of which the whole head has been read were never
+// passed to the handler, and why the connection ended.
+func (c *callerConn) unhandled() (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return max(c.parser.headsWith(c.unread)-c.handled, 0), c.endCause()
+}
+
+// isWaiting reports whether all requests have been answered and no byte of another one
+// has been read.
+func (c *callerConn) isWaiting() bool {
+	return c.err == nil && len(c.unread) == 0 && c.parser.betweenRequests() && c.parser.heads == c.finished
+}
+
+// closeExpired closes the connection if it has waited for a request, or for the rest of
+// a head, longer than the limits allow.
+func (c *callerConn) closeExpired(now time.Time, limits Limits) {
+	c.closeIf(func() error {
+		switch {
+		case c.isWaiting() && c.finished == 0 && now.Sub(c.waitingSince) > limits.HeaderTimeout:
+			return ErrHeaderTimeout
+		case c.isWaiting() && c.finished > 0 && now.Sub(c.waitingSince) > limits.IdleTimeout:
+			return ErrIdle
+		case c.err == nil && len(c.unread) == 0 && c.parser.inHead && now.Sub(c.headSince) > limits.HeaderTimeout:
+			return ErrHeaderTimeout
+		default:
+			return nil
+		}
+	})
+}
+
+// closeIf closes the connection if due returns a cause and nothing is left to be read
+// from the network.
+func (c *callerConn) closeIf(due func() error) {
+	c.mutex.Lock()
+	cause := due()
+	if cause == nil || !dialer.Quiet(c.Conn) {
+		c.mutex.Unlock()
+		return
+	}
+	c.closeFor(cause)
+	c.mutex.Unlock()
+	// net/http closes the connection again when its next read fails, and reports
+	// errors then.
+	_ = c.Conn.Close()
+}
--- /dev/null
+++ b/httpd/conns.go
@@ -0,0 +1,61 @@
+package httpd
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// connSet is the set of a server's open connections.
+type connSet struct {
+	mutex       sync.Mutex
+	open        map[*callerConn]struct{}
+	onUnhandled func(count int, cause error)
+}
+
+func newConnSet() *connSet {
+	return &connSet{open: make(map[*callerConn]struct{}), onUnhandled: func(int, error) {}}
+}
+
+// update implements the ConnState callback of http.Server.
+func (s *connSet) update(conn net.Conn, state http.ConnState) {
+	caller, isCaller := conn.(*callerConn)
+	if !isCaller {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.open[caller] = struct{}{}
+	case http.StateIdle:
+		caller.finishResponse(time.Now())
+	case http.StateClosed, http.StateHijacked:
+		if count, cause := caller.unhandled(); count > 0 {
+			s.onUnhandled(count, cause)
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.open, caller)
+	case http.StateActive:
+	}
+}
+
+// list returns the open connections. Whoever closes one of them must ask that connection
+// whether it may be closed, as its state may have changed.
+func (s *connSet) list() []*callerConn {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	conns := make([]*callerConn, 0, len(s.open))
+	for conn := range s.open {
+		conns = append(conns, conn)
+	}
+	return conns
+}
+
+func (s *connSet) closeExpired(now time.Time, limits Limits) {
+	for _, conn := range s.list() {
+		conn.closeExpired(now, limits)
+	}
+}
--- a/httpd/framing.go
+++ b/httpd/framing.go
@@ -2,21 +2,19 @@
 
 import (
 	"bytes"
-	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 )
 
-// framingKey is the context key of a connection's framingParser.
-type framingKey struct{}
-
 // framingParser parses the framing headers of the requests on a connection. This
 // duplicates work of net/http, because net/http removes the Content-Length header
-// of a request that also has Transfer-Encoding and so hides the ambiguity.
+// of a request that also has Transfer-Encoding and so hides the ambiguity. Heads counts
+// the heads that are complete; inHead is set within an incomplete one.
 type framingParser struct {
 	line          []byte
+	heads         int
+	inHead        bool
 	bodyRemaining int64
 	stopped       bool
 	length        int64
@@ -38,6 +36,7 @@
 			data = data[skipped:]
 			continue
 		}
+		f.inHead = true
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
 			f.appendLine(data)
@@ -77,6 +76,8 @@
 // stops, since chunks aren't parsed; the connection has to be closed after that
 // request.
 func (f *framingParser) endHead() {
+	f.heads++
+	f.inHead = false
 	if f.hasEncoding {
 		f.chunked.Store(true)
 		f.ambiguous.Store(f.hasLength)
@@ -87,62 +88,19 @@
 	f.length, f.hasLength = 0, false
 }
 
-// framingListener wraps accepted connections in a framingConn, and in a
-// readAheadConn if readAhead is set.
-type framingListener struct {
-	net.Listener
-
-	readAhead bool
+// betweenRequests reports whether the next byte would be the first of a request.
+func (f *framingParser) betweenRequests() bool {
+	return !f.inHead && f.bodyRemaining == 0 && !f.stopped
 }
 
-// Accept implements net.Listener.
-func (l framingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// headsWith returns how many heads there are once data has been parsed, too.
+func (f *framingParser) headsWith(data []byte) int {
+	ahead := framingParser{
+		line: bytes.Clone(f.line), heads: f.heads, bodyRemaining: f.bodyRemaining,
+		stopped: f.stopped, length: f.length, hasLength: f.hasLength, hasEncoding: f.hasEncoding,
 	}
-	if l.readAhead {
-		conn = newReadAheadConn(conn)
-	}
-	return &framingConn{Conn: conn}, nil
-}
-
-// framingConn passes the data that is read to a framingParser.
-type framingConn struct {
-	net.Conn
-	parser framingParser
-}
-
-// Read implements net.Conn.
-func (c *framingConn) Read(data []byte) (int, error) {
-	count, err := c.Conn.Read(data)
-	c.parser.parse(data[:count])
-	return count, err
-}
-
-// withFraming adds the connection's framingParser to the context.
-func withFraming(ctx context.Context, conn net.Conn) context.Context {
-	if framed, isFramed := conn.(*framingConn); isFramed {
-		return context.WithValue(ctx, framingKey{}, &framed.parser)
-	}
-	return ctx
-}
-
-// withDisconnect does the same as withFraming and also cancels the context when
-// the caller closes the connection.
-func withDisconnect(ctx context.Context, conn net.Conn) context.Context {
-	framed, isFramed := conn.(*framingConn)
-	if !isFramed {
-		return ctx
-	}
-	ctx = withFraming(ctx, conn)
-	readAhead, isReadAhead := framed.Conn.(*readAheadConn)
-	if !isReadAhead {
-		return ctx
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	readAhead.setOnDisconnect(cancel)
-	return ctx
+	ahead.parse(data)
+	return ahead.heads
 }
 
 // Framing describes how the length of a request body is given. Ambiguous is set
@@ -158,9 +116,9 @@
 // framing of a pipelined later request is returned if that one has been read from
 // the connection already and is chunked.
 func FramingOf(r *http.Request) Framing {
-	parser, found := r.Context().Value(framingKey{}).(*framingParser)
-	if !found {
+	conn := connOf(r.Context())
+	if conn == nil {
 		return Framing{}
 	}
-	return Framing{Ambiguous: parser.ambiguous.Load(), Chunked: parser.chunked.Load()}
+	return Framing{Ambiguous: conn.parser.ambiguous.Load(), Chunked: conn.parser.chunked.Load()}
 }
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
+
+	"dandeliondoor/dialer"
 )
 
 // Limits of one request-response exchange.
@@ -102,21 +102,7 @@
 	if !now.Before(c.expiresAt()) {
 		return false
 	}
-	syscallConn, hasSyscallConn := c.conn.(syscall.Conn)
-	if !hasSyscallConn {
-		return true
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	err = rawConn.Control(func(descriptor uintptr) {
-		var buffer [1]byte
-		_, _, peekErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		wouldBlock = errors.Is(peekErr, unix.EAGAIN)
-	})
-	return err == nil && wouldBlock
+	return dialer.Quiet(c.conn)
 }
 
 // Do sends a request and returns the response, whose body has not been read yet.
