httpd: a shutdown answers what has been read

The response '503, daemon_is_stopping' was reached only by requests in between.

Change: Shutdown stops accepting, closes connections that wait for a request by their own decision, gives new ones a second for their first request, and lets the handler have the others. Each response whose head is written from the beginning of a drain on says Connection: close, also if its request came before; a resting connection stays open until the balancer's lag is over. Serve returns only when no connection is left, so that the end of the context closes them in any case.

--- a/entry/service.go
+++ b/entry/service.go
@@ -62,6 +62,7 @@
 // connections and waits for requests in flight.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	s.server.DisableKeepAlives()
 	s.log.Info("draining; no longer ready")
 	timer := time.NewTimer(s.balancerLag)
 	defer timer.Stop()
@@ -77,9 +78,6 @@
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	s.handler.ServeHTTP(w, r)
 }
 
--- a/front/service.go
+++ b/front/service.go
@@ -104,6 +104,7 @@
 // for those in flight.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	s.server.DisableKeepAlives()
 	s.log.WithField("in_flight", s.inFlight.Load()).Info("draining; no longer ready")
 	sleep(ctx, s.balancerLag)
 	s.rejecting.Store(true)
@@ -116,9 +117,6 @@
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if s.rejecting.Load() {
 		s.handler.respondLocally(w, s.handler.newExchange(r), localResponse{status: http.StatusServiceUnavailable, reason: reasonStopping})
 		return
--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -263,6 +263,17 @@
 	})
 }
 
+// closeWaiting closes the connection if it waits for a request. A new one is given some
+// time for its first request.
+func (c *callerConn) closeWaiting(now time.Time, newConnGrace time.Duration) {
+	c.closeIf(func() error {
+		if !c.isWaiting() || (c.finished == 0 && now.Sub(c.waitingSince) < newConnGrace) {
+			return nil
+		}
+		return ErrServerClosed
+	})
+}
+
 // closeIf closes the connection if due returns a cause and nothing is left to be read
 // from the network.
 func (c *callerConn) closeIf(due func() error) {
--- a/httpd/conns.go
+++ b/httpd/conns.go
@@ -59,3 +59,13 @@
 		conn.closeExpired(now, limits)
 	}
 }
+
+// closeWaiting closes the connections that wait for a request and returns the number of
+// those that were open before.
+func (s *connSet) closeWaiting(now time.Time, newConnGrace time.Duration) int {
+	conns := s.list()
+	for _, conn := range conns {
+		conn.closeWaiting(now, newConnGrace)
+	}
+	return len(conns)
+}
--- a/httpd/idle_test.go
+++ b/httpd/idle_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -203,3 +204,52 @@
 	})
 	return server, address
 }
+
+// TestRequestReadDuringShutdown completes requests after a shutdown has begun. It guards
+// against a server that drops what it has read once it shuts down.
+func TestRequestReadDuringShutdown(t *testing.T) {
+	t.Parallel()
+	const pause = 50 * time.Millisecond
+	for _, test := range []struct {
+		name  string
+		parts []string
+	}{
+		{name: "head completed during the shutdown", parts: []string{"GET / HTTP/1.1\r\nHo", "st: souk.example\r\n\r\n"}},
+		{name: "body completed during the shutdown", parts: []string{"POST / HTTP/1.1\r\nHost: souk.example\r\nContent-Length: 6\r\n\r\nlot", "=12"}},
+		{name: "first request of a new connection", parts: []string{"", shortRequest}},
+		{name: "head begun after a response", parts: []string{shortRequest + "GET /", " HTTP/1.1\r\nHost: souk.example\r\n\r\n"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			server, address := startServer(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, test.parts[0]); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(pause)
+			shutDown := kernel.Run(context.Background(), server.Shutdown)
+			time.Sleep(pause)
+			if _, err := io.WriteString(conn, test.parts[1]); err != nil {
+				t.Fatal(err)
+			}
+			reader := bufio.NewReader(conn)
+			var response *http.Response
+			for range strings.Count(test.parts[0]+test.parts[1], " HTTP/1.1") {
+				if response, err = http.ReadResponse(reader, nil); err != nil {
+					t.Fatalf("a request that was read got no response: %v", err)
+				}
+				response.Body.Close()
+			}
+			if !response.Close {
+				t.Error("the last response doesn't say that the connection is closed")
+			}
+			if err := <-shutDown; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,11 +13,23 @@
 // maxHeaderBytes is the default size limit of a request's headers.
 const maxHeaderBytes = 64 << 10
 
+// Times of Shutdown.
+const (
+	shutdownInterval = 20 * time.Millisecond
+	// newConnGrace is how long a new connection may take to bring its first request
+	// while the server shuts down.
+	newConnGrace = time.Second
+)
+
 // Server serves HTTP requests on a listener with a handler.
 type Server struct {
 	server   *http.Server
 	listener net.Listener
 	conns    *connSet
+	closing  atomic.Bool
+	stopping atomic.Bool
+	accepted chan struct{}
+	drained  chan struct{}
 }
 
 // Option configures a server.
@@ -46,7 +59,10 @@
 
 // NewServer returns a server that takes ownership of the listener.
 func NewServer(listener net.Listener, handler http.Handler, options ...Option) *Server {
-	s := &Server{listener: listener, conns: newConnSet()}
+	s := &Server{
+		listener: listener, conns: newConnSet(),
+		accepted: make(chan struct{}), drained: make(chan struct{}),
+	}
 	s.server = &http.Server{
 		Handler:           s.track(handler),
 		ConnContext:       withConn,
@@ -64,40 +80,75 @@
 	return s
 }
 
-// track records which requests the handler gets.
+// track records which requests the handler gets, and closes connections after their
+// responses if keep-alives are disabled.
 func (s *Server) track(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn := connOf(r.Context()); conn != nil {
 			conn.beginRequest()
 		}
-		handler.ServeHTTP(w, r)
+		tracked := &responseWriter{ResponseWriter: w, closing: &s.closing}
+		handler.ServeHTTP(tracked, r)
+		if !tracked.wroteHeader {
+			tracked.setConnection()
+		}
 	})
 }
 
-// Serve accepts connections until Shutdown is called or the context ends. The end
-// of the context aborts requests in flight.
+// Serve accepts connections until Shutdown is called or the context ends. After the
+// call of Shutdown it returns when no connection is left. The end of the context aborts
+// requests in flight.
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
 	err := s.server.Serve(s.listener)
+	close(s.accepted)
+	if s.stopping.Load() {
+		select {
+		case <-s.drained:
+		case <-ctx.Done():
+		}
+		return nil
+	}
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "serve HTTP")
 }
 
-// Shutdown stops accepting connections and waits for requests in flight until the
-// context ends.
+// Shutdown stops accepting connections, closes each connection that waits for a request,
+// and the others after their responses. It returns when none is left, or an error when
+// the context ends. It may be called once.
+//
+// http.Server.Shutdown isn't used, since it drops requests that have been read but not
+// yet passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "shut down HTTP server")
+	s.stopping.Store(true)
+	s.DisableKeepAlives()
+	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "close listener")
+	}
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "shut down HTTP server")
+	}
+	ticker := time.NewTicker(shutdownInterval)
+	defer ticker.Stop()
+	for s.conns.closeWaiting(time.Now(), newConnGrace) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "shut down HTTP server")
+		}
 	}
+	close(s.drained)
 	return nil
 }
 
-// DisableKeepAlives makes the server close idle connections, and each other
-// connection after its next response.
-func (s *Server) DisableKeepAlives() { s.server.SetKeepAlivesEnabled(false) }
+// DisableKeepAlives makes the server close each connection after its next response. Those
+// that wait for a request stay open.
+func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
 
 // CloseExpired closes the connections that have waited for a request longer than the
 // limits allow.
