httpd: a shorter idle limit holds from the next response on

Evidence, before: TestIdleLimitShortened, 'got closed true (EOF), want false'. Each connection now keeps the limit that was in force at its last response, if that is longer. Closes that cross a request become rare; what crosses one is neither read nor passed on.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -42,6 +42,7 @@
 	finished     int
 	waitingSince time.Time
 	headSince    time.Time
+	idleLimit    time.Duration
 }
 
 func newCallerConn(now time.Time, conn net.Conn, readAhead bool) *callerConn {
@@ -224,12 +225,13 @@
 	c.handled++
 }
 
-// finishResponse records that a response is complete.
-func (c *callerConn) finishResponse(now time.Time) {
+// finishResponse records that a response is complete. The idle limit in force at that
+// time holds until the next response.
+func (c *callerConn) finishResponse(now time.Time, idleLimit time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.finished++
-	c.waitingSince = now
+	c.waitingSince, c.idleLimit = now, idleLimit
 }
 
 // unhandled returns how many requests of which the whole head has been read were never
@@ -253,7 +255,7 @@
 		switch {
 		case c.isWaiting() && c.finished == 0 && now.Sub(c.waitingSince) > limits.HeaderTimeout:
 			return ErrHeaderTimeout
-		case c.isWaiting() && c.finished > 0 && now.Sub(c.waitingSince) > limits.IdleTimeout:
+		case c.isWaiting() && c.finished > 0 && now.Sub(c.waitingSince) > max(limits.IdleTimeout, c.idleLimit):
 			return ErrIdle
 		case c.err == nil && len(c.unread) == 0 && c.parser.inHead && now.Sub(c.headSince) > limits.HeaderTimeout:
 			return ErrHeaderTimeout
--- a/httpd/conns.go
+++ b/httpd/conns.go
@@ -11,6 +11,7 @@
 type connSet struct {
 	mutex       sync.Mutex
 	open        map[*callerConn]struct{}
+	idleLimit   time.Duration
 	onUnhandled func(count int, cause error)
 }
 
@@ -30,7 +31,7 @@
 		defer s.mutex.Unlock()
 		s.open[caller] = struct{}{}
 	case http.StateIdle:
-		caller.finishResponse(time.Now())
+		caller.finishResponse(time.Now(), s.currentIdleLimit())
 	case http.StateClosed, http.StateHijacked:
 		if count, cause := caller.unhandled(); count > 0 {
 			s.onUnhandled(count, cause)
@@ -42,6 +43,12 @@
 	}
 }
 
+func (s *connSet) currentIdleLimit() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.idleLimit
+}
+
 // list returns the open connections. Whoever closes one of them must ask that connection
 // whether it may be closed, as its state may have changed.
 func (s *connSet) list() []*callerConn {
@@ -55,6 +62,9 @@
 }
 
 func (s *connSet) closeExpired(now time.Time, limits Limits) {
+	s.mutex.Lock()
+	s.idleLimit = limits.IdleTimeout
+	s.mutex.Unlock()
 	for _, conn := range s.list() {
 		conn.closeExpired(now, limits)
 	}
--- a/httpd/idle_test.go
+++ b/httpd/idle_test.go
@@ -253,3 +253,34 @@
 		})
 	}
 }
+
+// TestIdleLimitShortened shortens the idle limit after a response. The connection must
+// stay open for the limit under which the caller got the response.
+func TestIdleLimitShortened(t *testing.T) {
+	t.Parallel()
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	server.CloseExpired(time.Now(), httpd.Limits{IdleTimeout: time.Minute})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, test := range []struct {
+		after  time.Duration
+		closed bool
+	}{{after: 45 * time.Second}, {after: 45 * time.Second, closed: true}} {
+		if _, err := io.WriteString(conn, shortRequest); err != nil {
+			t.Fatal(err)
+		}
+		readResponse(t, reader)
+		time.Sleep(20 * time.Millisecond)
+		server.CloseExpired(time.Now().Add(test.after), httpd.Limits{IdleTimeout: 30 * time.Second})
+		_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err := reader.Peek(1)
+		if closed := err == io.EOF; closed != test.closed {
+			t.Errorf("got closed %t (%v), want %t", closed, err, test.closed)
+		}
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+}
--- a/httpd/limits.go
+++ b/httpd/limits.go
@@ -6,7 +6,8 @@
 //
 // HeaderTimeout runs from the acceptance of a connection until its first request begins,
 // and from the first byte of a head until the head is complete. IdleTimeout runs from a
-// response until the first byte of the next request.
+// response until the first byte of the next request; the one in force at the response
+// still holds if a shorter one replaces it, since the caller relies on it.
 type Limits struct {
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
