kernel: keep accepting connections after descriptors have run out

TestAcceptWithoutDescriptors failed before: "accepting ended: accept connection: accept tcp: accept4: too many open files". Once the process had no descriptor left, the service for other daemons ended without a line in the log while its port stayed open: the others connected to a backlog that nobody read, asked this broker in vain, and fell back to pools of their own until the process was started anew. Callers were not cut by it, but waited up to 150 ms longer for each attempt. net/http's server, which accepts the callers, retries by itself.

Accept now waits for 50 ms and tries again when descriptors or buffers have run out. Any other error still ends it, as TestAcceptEnds checks.

--- a/kernel/accept.go
+++ b/kernel/accept.go
@@ -4,10 +4,16 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
 
+// acceptRetryDelay is the delay after a connection could not be accepted because the
+// process or the system has run out of descriptors or buffers.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // Accept serves each connection of a listener in its own goroutine until the
 // context ends, and returns when all of these goroutines have ended.
 func Accept(ctx context.Context, listener net.Listener, serve func(ctx context.Context, conn net.Conn)) error {
@@ -17,12 +23,35 @@
 	defer handlers.Wait()
 	for {
 		conn, err := listener.Accept()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
+		case err == nil:
+			handlers.Go(func() { serve(ctx, conn) })
+		case exhausted(err):
+			pause(ctx, acceptRetryDelay)
+		default:
 			return errors.Wrap(err, "accept connection")
 		}
-		handlers.Go(func() { serve(ctx, conn) })
+	}
+}
+
+// exhausted reports whether a connection can be accepted later, when others have been
+// closed.
+func exhausted(err error) bool {
+	for _, target := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
+
+func pause(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
