--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -102,6 +102,9 @@
 	upstreams  []*upstreamProcess
 	vmList     []infra.VM
 	retention  time.Duration
+
+	// output replaces the buffers of the processes that are started from now on.
+	output *os.File
 }
 
 var zones = []string{"fes-medina", "fes-jdid", "sidi-brahim"}
@@ -184,6 +187,9 @@
 	f.t.Helper()
 	p := &process{name: name, command: exec.Command(program, arguments...), output: &syncBuffer{}, exited: make(chan error, 1)}
 	p.command.Stdout, p.command.Stderr = p.output, p.output
+	if f.output != nil {
+		p.command.Stdout, p.command.Stderr = f.output, f.output
+	}
 	must(f.t, p.command.Start())
 	go func() { p.exited <- p.command.Wait() }()
 	f.t.Cleanup(func() {
