cmds: SIGHUP no longer ends serve

TestServeSignals failed before: "os: process already finished". serve did not handle SIGHUP, whose default action ends the process, so that a caller whose request was being handled saw its connection close without a response. On the users' platform SIGHUP says that settings have changed; serve reads them at the start only, and now logs that.

--- a/cmds/servecmd.go
+++ b/cmds/servecmd.go
@@ -17,8 +17,9 @@
 
 On SIGTERM or SIGINT the daemon finishes the requests in flight, for at most
 stop.limit, and stops. On SIGUSR1 it prints the state of all parts to standard
-error. Each setting can be overridden by an environment variable, such as
-listen.callers by DANDELIONDOOR_LISTEN_CALLERS.
+error. SIGHUP has no effect: settings are read at the start only. Each setting
+can be overridden by an environment variable, such as listen.callers by
+DANDELIONDOOR_LISTEN_CALLERS.
 
 Examples:
   dandeliondoor serve --settings daemon.yaml
@@ -42,7 +43,7 @@
 		return &ExitError{Code: ExitInvalid, Err: err}
 	}
 	logger.RedirectLibraryLogs()
-	signals := notifySignals(syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signals := notifySignals(syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	d, err := daemon.New(settings, logger)
 	if err != nil {
 		return err
@@ -54,11 +55,15 @@
 	log := logger.Part("daemon").WithField("name", settings.Name)
 	log.Info("started")
 	for {
-		if signal := <-signals; signal != syscall.SIGUSR1 {
+		switch signal := <-signals; signal {
+		case syscall.SIGHUP:
+			log.Info("received SIGHUP; settings are read at the start only")
+		case syscall.SIGUSR1:
+			c.dump(d)
+		default:
 			log.WithField("signal", signal.String()).Info("stopping")
 			return d.Stop(ctx)
 		}
-		c.dump(d)
 	}
 }
 
