httpd: linger when a connection is closed behind a response

What callers saw: a response broke off with a reset. The server closes a connection behind a response with Connection: close; bytes that the caller sends after that, such as a request that crosses the close, make the kernel reset the connection, which discards what has not been delivered of the response.

Change: such a connection closes its sending half first, drops what still comes, and closes when the caller does, at the latest after half a second.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -11,6 +11,10 @@
 	"dandeliondoor/dialer"
 )
 
+// lingerTimeout is how long a connection that is closed behind a response waits for the
+// caller to close it, too.
+const lingerTimeout = 500 * time.Millisecond
+
 // maxReadAhead is the size of unread data at which reading ahead pauses. During the
 // pause a disconnect isn't noticed.
 const maxReadAhead = 64 << 10
@@ -38,6 +42,7 @@
 	onDisconnect context.CancelCauseFunc
 	closeCause   error
 
+	closing      bool
 	handled      int
 	finished     int
 	waitingSince time.Time
@@ -68,12 +73,12 @@
 }
 
 // push stores the result of a read, blocks while there is too much unread data,
-// and reports whether to continue reading.
+// and reports whether to continue reading. It drops what comes after the end.
 func (c *callerConn) push(data []byte, err error) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.err != nil {
-		return false
+		return err == nil
 	}
 	c.unread = append(c.unread, data...)
 	if err != nil {
@@ -83,7 +88,7 @@
 	for c.err == nil && len(c.unread) >= maxReadAhead {
 		c.changed.Wait()
 	}
-	return c.err == nil
+	return err == nil
 }
 
 // end records that the connection ended, and tells the handler of a request why.
@@ -200,8 +205,12 @@
 // Close closes the connection and waits for the read loop to end.
 func (c *callerConn) Close() error {
 	c.mutex.Lock()
+	lingering := c.err == nil && c.closing
 	c.closeFor(ErrServerClosed)
 	c.mutex.Unlock()
+	if lingering {
+		c.linger(time.Now())
+	}
 	err := c.Conn.Close()
 	if c.readLoopDone != nil {
 		<-c.readLoopDone
@@ -209,6 +218,21 @@
 	return err
 }
 
+// linger closes the sending half and drops what the caller still sends, until it closes
+// the connection, too. Bytes that arrive at a closed connection would reset it, which
+// could destroy a response on its way.
+func (c *callerConn) linger(now time.Time) {
+	sender, isSender := c.Conn.(interface{ CloseWrite() error })
+	if !isSender || sender.CloseWrite() != nil || c.Conn.SetReadDeadline(now.Add(lingerTimeout)) != nil {
+		return
+	}
+	if c.readLoopDone != nil {
+		<-c.readLoopDone
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // Ends with the deadline, if not before.
+}
+
 // closeFor marks the connection as closed for a cause, unless it has ended already.
 func (c *callerConn) closeFor(cause error) {
 	if c.err != nil {
@@ -225,6 +249,14 @@
 	c.handled++
 }
 
+// endRequest records that a request has been handled; closes is set if the connection is
+// closed behind the response.
+func (c *callerConn) endRequest(closes bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closing = closes
+}
+
 // finishResponse records that a response is complete. The idle limit in force at that
 // time holds until the next response.
 func (c *callerConn) finishResponse(now time.Time, idleLimit time.Duration) {
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -84,7 +84,8 @@
 // responses if keep-alives are disabled.
 func (s *Server) track(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn := connOf(r.Context()); conn != nil {
+		conn := connOf(r.Context())
+		if conn != nil {
 			conn.beginRequest()
 		}
 		tracked := &responseWriter{ResponseWriter: w, closing: &s.closing}
@@ -92,6 +93,9 @@
 		if !tracked.wroteHeader {
 			tracked.setConnection()
 		}
+		if conn != nil {
+			conn.endRequest(tracked.closesConnection(r))
+		}
 	})
 }
 
