httpd: answer pipelined requests that have been read before a connection closes

What callers saw: in planned stops, requests sent behind another one on their connection got no response, though the daemon had read them.

A response during a stop now says Connection: close only if the head of no further request has been read.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -257,6 +257,13 @@
 	c.closing = closes
 }
 
+// hasNext reports whether the whole head of a further request has been read.
+func (c *callerConn) hasNext() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.parser.headsWith(c.unread) > c.handled
+}
+
 // finishResponse records that a response is complete. The idle limit in force at that
 // time holds until the next response.
 func (c *callerConn) finishResponse(now time.Time, idleLimit time.Duration) {
--- a/httpd/closing_test.go
+++ b/httpd/closing_test.go
@@ -310,3 +310,31 @@
 		}
 	}
 }
+
+// TestPipelinedWhileClosing sends requests in one piece to a server that closes
+// connections after their responses. It guards against requests that have been read and
+// are dropped because a response before theirs closes the connection.
+func TestPipelinedWhileClosing(t *testing.T) {
+	t.Parallel()
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	server.DisableKeepAlives()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const requests = 3
+	if _, err := io.WriteString(conn, strings.Repeat(shortRequest, requests)); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	for i := range requests {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d was read and got no response: %v", i, err)
+		}
+		if last := i == requests-1; response.Close != last {
+			t.Errorf("response %d: got Connection: close %t, want %t", i, response.Close, last)
+		}
+	}
+}
--- a/httpd/response_writer.go
+++ b/httpd/response_writer.go
@@ -6,10 +6,11 @@
 )
 
 // responseWriter adds Connection: close to each response whose head is written once
-// closing is set.
+// closing is set, unless the next request has been read already.
 type responseWriter struct {
 	http.ResponseWriter
 
+	conn        *callerConn
 	closing     *atomic.Bool
 	wroteHeader bool
 }
@@ -43,7 +44,7 @@
 }
 
 func (w *responseWriter) setConnection() {
-	if w.closing.Load() {
+	if w.closing.Load() && (w.conn == nil || !w.conn.hasNext()) {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -88,7 +88,7 @@
 		if conn != nil {
 			conn.beginRequest()
 		}
-		tracked := &responseWriter{ResponseWriter: w, closing: &s.closing}
+		tracked := &responseWriter{ResponseWriter: w, conn: conn, closing: &s.closing}
 		handler.ServeHTTP(tracked, r)
 		if !tracked.wroteHeader {
 			tracked.setConnection()
@@ -150,8 +150,8 @@
 	return nil
 }
 
-// DisableKeepAlives makes the server close each connection after its next response. Those
-// that wait for a request stay open.
+// DisableKeepAlives makes the server close each connection after the response to the last
+// request that has been read from it. Those that wait for a request stay open.
 func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
 
 // CloseExpired closes the connections that have waited for a request longer than the
