entry: answer the requests that a planned stop can't wait for

TestStopTimesOut failed before: "stopping failed: drain entry: shut down HTTP server: context deadline exceeded" and "no response when the daemon had stopped", for an upstream that works too long and for bodies that come too slowly. At the end of stop.limit the process exited, and callers of serve saw their connections close, also those whose requests had never been sent to an upstream.

Drain now cancels what is in flight 0.3 s before the end. What has not run is answered 503 with the new reason stopping, what may have run 502 with the outcome unknown, and requests that come after that 503. The cancellation has its own cause, so that it is not taken for a caller that left.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -38,7 +38,7 @@
 	for {
 		lease, err := h.client.Acquire(ctx, h.slotRequest(e))
 		if err != nil {
-			h.respond(w, e, acquireErrorResponse(err, e.history.Outcome()))
+			h.respond(w, e, whileStopping(ctx, acquireErrorResponse(err, e.history.Outcome())))
 			return
 		}
 		h.metrics.slotWaits.Observe(lease.Waited.Seconds())
@@ -102,7 +102,7 @@
 	}
 	closeBody(a.response)
 	h.client.Release(ctx, a.lease, a.releaseMessage(failed.outcome, time.Now()), false)
-	h.respond(w, e, failureResponse(failed, e.history.Outcome()))
+	h.respond(w, e, whileStopping(ctx, failureResponse(failed, e.history.Outcome())))
 }
 
 // closeBody closes the body of a response that isn't forwarded. The response may be
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -62,14 +62,20 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve(r.Context(), w, r) }
+
+// serve handles a request within a context, which may end before that of the request.
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	e := &exchange{id: uuid.NewString(), request: r}
 	if rejection, rejected := h.prepare(now, w, e); rejected {
+		if rejection.reason == ReasonBodyBroken {
+			rejection = whileStopping(ctx, rejection)
+		}
 		h.respond(w, e, rejection)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	h.forward(ctx, w, e)
 }
--- a/entry/response.go
+++ b/entry/response.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"math"
 	"net/http"
@@ -29,6 +30,7 @@
 	ReasonNoAnswer      Reason = "no_answer"
 	ReasonNoRoute       Reason = "no_route"
 	ReasonNotReady      Reason = "not_ready"
+	ReasonStopping      Reason = "stopping"
 	ReasonUpstreamsShed Reason = "upstreams_shed"
 	ReasonUnreachable   Reason = "upstreams_unreachable"
 )
@@ -76,6 +78,15 @@
 	return response
 }
 
+// whileStopping replaces the response to a request that has not run because a planned
+// stop cancelled it.
+func whileStopping(ctx context.Context, response localResponse) localResponse {
+	if response.outcome == proto.OutcomeNotRun && errors.Is(context.Cause(ctx), errStopping) {
+		return reject(http.StatusServiceUnavailable, ReasonStopping)
+	}
+	return response
+}
+
 // failureResponse returns the response to a request whose last attempt failed.
 func failureResponse(failed *failedAttempt, outcome proto.Outcome) localResponse {
 	response := localResponse{status: http.StatusBadGateway, outcome: outcome, reason: ReasonNoAnswer}
--- a/entry/service.go
+++ b/entry/service.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"dandeliondoor/grant"
@@ -17,16 +19,27 @@
 // Name is the name of the service in the kernel.
 const Name = "entry"
 
+// answerMargin is how long before the end of a planned stop the requests in flight are
+// cancelled, so that their callers still get a response.
+const answerMargin = 300 * time.Millisecond
+
+// errStopping is the cause of the cancellation of a request that a planned stop can't
+// wait for.
+var errStopping = errors.New("daemon is stopping")
+
 // Service accepts callers' requests on a listener. It can be drained without
 // aborting requests in flight.
 type Service struct {
-	handler     *Handler
-	client      *grant.Client
-	server      *httpd.Server
-	balancerLag time.Duration
-	log         *logrus.Entry
-	inFlight    atomic.Int64
-	draining    atomic.Bool
+	handler      *Handler
+	client       *grant.Client
+	server       *httpd.Server
+	balancerLag  time.Duration
+	log          *logrus.Entry
+	inFlight     atomic.Int64
+	draining     atomic.Bool
+	stopping     atomic.Bool
+	stop         context.CancelFunc
+	whenStopping func(call func()) (detach func() bool)
 }
 
 var (
@@ -41,7 +54,9 @@
 func NewService(
 	listener net.Listener, handler *Handler, client *grant.Client, balancerLag time.Duration, log *logrus.Entry,
 ) *Service {
-	s := &Service{handler: handler, client: client, balancerLag: balancerLag, log: log}
+	stopping, stop := context.WithCancel(context.Background())
+	s := &Service{handler: handler, client: client, stop: stop, balancerLag: balancerLag, log: log}
+	s.whenStopping = func(call func()) func() bool { return context.AfterFunc(stopping, call) }
 	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve))
 	return s
 }
@@ -59,10 +74,15 @@
 
 // Drain marks the daemon as unready and keeps serving for the balancer lag, closing
 // each keep-alive connection after its next response. Then it stops accepting
-// connections and waits for requests in flight.
+// connections and waits for requests in flight. Those that don't end in time are
+// cancelled shortly before, which the daemon responds to itself.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.log.Info("draining; no longer ready")
+	if end, limited := ctx.Deadline(); limited {
+		timer := time.AfterFunc(time.Until(end)-answerMargin, s.cancelRequests)
+		defer timer.Stop()
+	}
 	timer := time.NewTimer(s.balancerLag)
 	defer timer.Stop()
 	select {
@@ -74,13 +94,31 @@
 	return err
 }
 
+// cancelRequests cancels the requests in flight and refuses further ones.
+func (s *Service) cancelRequests() {
+	s.stopping.Store(true)
+	s.stop()
+}
+
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	s.handler.ServeHTTP(w, r)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	detach := s.whenStopping(func() {
+		cancel(errStopping)
+		// An attempt ends only when the body does.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	defer detach()
+	if s.stopping.Load() {
+		s.handler.respond(w, &exchange{id: uuid.NewString(), request: r}, reject(http.StatusServiceUnavailable, ReasonStopping))
+		return
+	}
+	s.handler.serve(ctx, w, r)
 }
 
 // State is the state dump of the service.
