--- /dev/null
+++ b/httpd/response_writer.go
@@ -0,0 +1,55 @@
+package httpd
+
+import (
+	"net/http"
+	"sync/atomic"
+)
+
+// responseWriter adds Connection: close to each response whose head is written once
+// closing is set, unless the next request has been read already.
+type responseWriter struct {
+	http.ResponseWriter
+
+	conn        *callerConn
+	closing     *atomic.Bool
+	wroteHeader bool
+}
+
+// Unwrap returns the writer of net/http, for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if !w.wroteHeader && status >= http.StatusOK {
+		w.wroteHeader = true
+		w.setConnection()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(data []byte) (int, error) {
+	if !w.wroteHeader {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+// FlushError sends buffered data to the caller.
+func (w *responseWriter) FlushError() error {
+	if !w.wroteHeader {
+		w.WriteHeader(http.StatusOK)
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *responseWriter) setConnection() {
+	if w.closing.Load() && (w.conn == nil || !w.conn.hasNext()) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// closesConnection reports whether the connection is closed behind the response.
+func (w *responseWriter) closesConnection(r *http.Request) bool {
+	return r.Close || w.Header().Get("Connection") == "close"
+}
