entry: the end of a planned stop leaves time for lingering connections

A caller that still sends a body keeps its connection open behind the response, and httpd now waits 0.5 s for it to close, longer than the margin of 0.3 s.

--- a/entry/service.go
+++ b/entry/service.go
@@ -20,8 +20,9 @@
 const Name = "entry"
 
 // answerMargin is how long before the end of a planned stop the requests in flight are
-// cancelled, so that their callers still get a response.
-const answerMargin = 300 * time.Millisecond
+// cancelled, so that their callers still get a response. It includes the time for which
+// httpd keeps a connection behind its last response.
+const answerMargin = 800 * time.Millisecond
 
 // errStopping is the cause of the cancellation of a request that a planned stop can't
 // wait for.
