httpd: a shutdown doesn't fail because of connections that linger; no 400 for a timeout

When its context ends, Shutdown now succeeds if every connection only lingers (TestShutdownWhileLingering).

Beside load (average 29 to 45) TestCloseExpired, case 'incomplete head', failed 2 of 90 and then 3 of 100 runs, 'got closed false (<nil>)'. Traced: the head was in the parser and the close due; between the mark and the close net/http read io.EOF within the head and sent '400 Bad Request', which callers don't repeat. Reads from a connection that this daemon closes now fail with a net.OpError, on which net/http sends nothing. The caller also learns of the close at once: its sending half is closed first, since Close waits until the read loop has let go of the descriptor.

--- a/entry/service.go
+++ b/entry/service.go
@@ -20,9 +20,8 @@
 const Name = "entry"
 
 // answerMargin is how long before the end of a planned stop the requests in flight are
-// cancelled, so that their callers still get a response. It includes the time for which
-// httpd keeps a connection behind its last response.
-const answerMargin = 800 * time.Millisecond
+// cancelled, so that their callers still get a response.
+const answerMargin = 300 * time.Millisecond
 
 // errStopping is the cause of the cancellation of a request that a planned stop can't
 // wait for.
@@ -79,7 +78,6 @@
 // cancelled shortly before, which the daemon responds to itself.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-	s.server.DisableKeepAlives()
 	s.log.Info("draining; no longer ready")
 	if end, limited := ctx.Deadline(); limited {
 		timer := time.AfterFunc(time.Until(end)-answerMargin, s.cancelRequests)
@@ -105,6 +103,9 @@
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	detach := s.whenStopping(func() {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -17,7 +17,7 @@
 // It guards against connections that are closed without a response.
 func TestStopTimesOut(t *testing.T) {
 	t.Parallel()
-	const stopTime = 2 * time.Second
+	const stopTime = time.Second
 	for _, test := range []struct {
 		name    string
 		send    func(ctx context.Context, t *testing.T, h *harness) demo.Response
--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/dialer"
 )
 
@@ -43,6 +45,7 @@
 	closeCause   error
 
 	closing      bool
+	lingering    bool
 	handled      int
 	finished     int
 	waitingSince time.Time
@@ -205,10 +208,11 @@
 // Close closes the connection and waits for the read loop to end.
 func (c *callerConn) Close() error {
 	c.mutex.Lock()
-	lingering := c.err == nil && c.closing
+	lingers := c.err == nil && c.closing
+	c.lingering = lingers
 	c.closeFor(ErrServerClosed)
 	c.mutex.Unlock()
-	if lingering {
+	if lingers {
 		c.linger(time.Now())
 	}
 	err := c.Conn.Close()
@@ -222,8 +226,7 @@
 // the connection, too. Bytes that arrive at a closed connection would reset it, which
 // could destroy a response on its way.
 func (c *callerConn) linger(now time.Time) {
-	sender, isSender := c.Conn.(interface{ CloseWrite() error })
-	if !isSender || sender.CloseWrite() != nil || c.Conn.SetReadDeadline(now.Add(lingerTimeout)) != nil {
+	if c.closeWrite() != nil || c.Conn.SetReadDeadline(now.Add(lingerTimeout)) != nil {
 		return
 	}
 	if c.readLoopDone != nil {
@@ -239,7 +242,7 @@
 		return
 	}
 	c.closeCause = cause
-	c.end(io.EOF)
+	c.end(errClosed)
 }
 
 // beginRequest records that a request is passed to the handler.
@@ -257,6 +260,14 @@
 	c.closing = closes
 }
 
+// isLingering reports whether the last response has been sent, and the connection only
+// waits for the caller to close it.
+func (c *callerConn) isLingering() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lingering
+}
+
 // hasNext reports whether the whole head of a further request has been read.
 func (c *callerConn) hasNext() bool {
 	c.mutex.Lock()
@@ -326,7 +337,23 @@
 	}
 	c.closeFor(cause)
 	c.mutex.Unlock()
-	// net/http closes the connection again when its next read fails, and reports
-	// errors then.
+	// The caller should learn of the close at once; Close takes effect only when the
+	// read loop has let go of the descriptor.
+	_ = c.closeWrite()
+	// net/http closes the connection again when its next read fails.
 	_ = c.Conn.Close()
 }
+
+// errClosed is the error of reads from a connection that this daemon has closed. net/http
+// sends no response on errors of this type; after io.EOF within a head it would send 400.
+var errClosed = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
+var errNoHalfClose = errors.New("connection has no half-close")
+
+// closeWrite closes the sending half of the connection.
+func (c *callerConn) closeWrite() error {
+	if sender, isSender := c.Conn.(interface{ CloseWrite() error }); isSender {
+		return sender.CloseWrite()
+	}
+	return errNoHalfClose
+}
--- a/httpd/closing_test.go
+++ b/httpd/closing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -338,3 +339,28 @@
 		}
 	}
 }
+
+// TestShutdownWhileLingering lets a shutdown time out while the only connection waits for
+// its caller to close it. It guards against a stop that fails because of a caller that
+// has its response.
+func TestShutdownWhileLingering(t *testing.T) {
+	t.Parallel()
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) { time.Sleep(100 * time.Millisecond) })
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, shortRequest); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		t.Errorf("the shutdown failed: %v", err)
+	}
+	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+		t.Errorf("no response: %v", err)
+	}
+}
--- a/httpd/conns.go
+++ b/httpd/conns.go
@@ -79,3 +79,13 @@
 	}
 	return len(conns)
 }
+
+// allLinger reports whether no connection has a response left to send.
+func (s *connSet) allLinger() bool {
+	for _, conn := range s.list() {
+		if !conn.isLingering() {
+			return false
+		}
+	}
+	return true
+}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -111,6 +111,7 @@
 		select {
 		case <-s.drained:
 		case <-ctx.Done():
+			_ = s.server.Close() // The AfterFunc may not have closed all connections yet.
 		}
 		return nil
 	}
@@ -121,8 +122,8 @@
 }
 
 // Shutdown stops accepting connections, closes each connection that waits for a request,
-// and the others after their responses. It returns when none is left, or an error when
-// the context ends. It may be called once.
+// and the others after their responses. It returns when none is left. When the context
+// ends, it returns an error if a response has not been sent. It may be called once.
 //
 // http.Server.Shutdown isn't used, since it drops requests that have been read but not
 // yet passed to the handler.
@@ -143,6 +144,9 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			if s.conns.allLinger() {
+				return nil
+			}
 			return errors.Wrap(ctx.Err(), "shut down HTTP server")
 		}
 	}
