front: requests that can't be finished in a planned stop are refused

Causes: the refusal of new requests was looked at only when a request's head had come. It began after the balancer's lag, which was counted from the end of the drain of the other parts, which may wait for the store. The deadline of servers didn't know the end of the stop, and its end closed all connections.

A stop now has a schedule that is counted from the signal. Whether an attempt may begin is decided by the schedule right before each one, and again when the connection is open. At the end, 0.65 s before the limit, attempts are interrupted, so that the callers get 504 (503 if the request wasn't sent) while there is time to write it. A body that is still being received is refused then.

--- a/cmds/frontcmd.go
+++ b/cmds/frontcmd.go
@@ -74,7 +74,7 @@
 	log := logger.Part("daemon").WithField("name", settings.Name).WithField("zone", settings.Zone)
 	log.Info("started")
 	c.serve(f, log, signals)
-	err = f.Stop(ctx)
+	err = f.Stop(ctx, time.Now())
 	log.WithField("clean", err == nil).Info("stopped")
 	return err
 }
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -40,9 +40,6 @@
 	// counts the requests that the platform sends to check the configuration, but the
 	// platform doesn't, so the full ratio would allow too many retries.
 	retryRatioShare = 0.7
-	// exitMargin is the part of the stop limit that is left for the process to exit
-	// after draining.
-	exitMargin = 400 * time.Millisecond
 )
 
 // Platform contains what a front daemon needs from the platform: the sources in its
@@ -92,7 +89,7 @@
 	slotService := slots.NewService(broker)
 	client := slots.NewClient(f.feed, peers, broker, fallback, slotsLog)
 	handler := front.NewHandler(f.feed, client, platform.Dialect, registry, logger.Part(front.Name))
-	f.front = front.NewService(listeners[0], handler, settings.Stop.BalancerLag, logger.Part(front.Name))
+	f.front = front.NewService(listeners[0], handler, logger.Part(front.Name))
 	operators, err := admin.New(listeners[3], registry, logger, f.Ready, f.status)
 	if err != nil {
 		return nil, err
@@ -144,10 +141,12 @@
 	return nil
 }
 
-// Stop drains the daemon, for at most the stop limit of its settings less
-// exitMargin, and then stops all services.
-func (f *Front) Stop(ctx context.Context) error {
-	stopCtx, cancel := context.WithTimeout(ctx, f.settings.Stop.Limit-exitMargin)
+// Stop drains the daemon and then stops all services, within the stop limit of its
+// settings from the given time on.
+func (f *Front) Stop(ctx context.Context, began time.Time) error {
+	stop := front.NewStop(began, f.settings.Stop.BalancerLag, f.settings.Stop.Limit)
+	f.front.BeginStop(stop)
+	stopCtx, cancel := context.WithDeadline(ctx, stop.ClosesAt())
 	defer cancel()
 	return errors.Join(f.kernel.Drain(stopCtx), f.kernel.Stop())
 }
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -65,10 +65,12 @@
 	arrivals []Arrival
 }
 
-// Arrival is a request that reached a server, whether or not it ran.
+// Arrival is a request that reached a server, whether or not it ran. Left is the time
+// that the request gave the server, 0 if it gave none.
 type Arrival struct {
-	ID string
-	At time.Time
+	ID   string
+	At   time.Time
+	Left time.Duration
 }
 
 // NewServer returns a server with the given address. The caller listens on the address
@@ -138,7 +140,7 @@
 // ServeHTTP handles a request as the platform's protocol specifies.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(proto.HeaderRequestID)
-	s.recordArrival(id)
+	s.recordArrival(id, r.Header.Get(proto.HeaderDeadline))
 	faults := s.Faults.Get()
 	header := w.Header()
 	header.Set(proto.HeaderRequestID, id)
@@ -228,10 +230,11 @@
 	}
 }
 
-func (s *Server) recordArrival(id string) {
+func (s *Server) recordArrival(id, deadlineMillis string) {
+	millis, _ := strconv.ParseInt(deadlineMillis, 10, bits64)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.arrivals = append(s.arrivals, Arrival{ID: id, At: time.Now()})
+	s.arrivals = append(s.arrivals, Arrival{ID: id, At: time.Now(), Left: time.Duration(millis) * time.Millisecond})
 }
 
 // run simulates the execution of a request. It counts the request as run as soon as
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -67,8 +67,13 @@
 		h.release(lease, choose.Release{Outcome: dialOutcome(ctx)}, proto.Report{Running: -1})
 		return attemptResult{failed: true, failure: NotSent, outcome: dialOutcome(ctx), err: err}
 	}
+	if !h.mayBegin(e) {
+		conn.Close()
+		h.release(lease, choose.Release{Outcome: choose.Cancelled}, proto.Report{Running: -1})
+		return attemptResult{failed: true, failure: NotSent, outcome: choose.Cancelled, err: errStopping}
+	}
 	sent := time.Now()
-	httpResponse, err := conn.Do(ctx, e.outgoing(h.dialect, lease.Server.ID))
+	httpResponse, err := conn.Do(ctx, e.outgoing(h.dialect, lease.Server.ID, h.currentStop().ServerDeadline(e.deadline)))
 	if err != nil {
 		conn.Close()
 		return h.connectionFailed(ctx, lease, err, time.Since(sent))
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -18,6 +18,8 @@
 // exchange is the state of one caller's request. Version is that of the
 // configuration that the route was looked up in. Pending counts the attempts
 // without a result so far; hedgeDelay is how long to wait for one before hedging.
+// Received is when the body was complete, zero if it is streamed. Refused is set if
+// an attempt was not begun because the daemon stops.
 type exchange struct {
 	id          string
 	request     *http.Request
@@ -28,18 +30,29 @@
 	body        *body
 	identity    crash.Identity
 	arrived     time.Time
+	received    time.Time
 	deadline    time.Time
 	history     *History
 	results     chan attemptResult
 	pending     int
 	hedgeDelay  time.Duration
 	lastRefusal choose.Refused
+	refused     bool
 }
 
-// outgoing returns the request to send to a server.
-func (e *exchange) outgoing(dialect proto.Dialect, server string) *upconn.Request {
+// errStopping is the cause of the end of a request that the end of a stop interrupts,
+// and of an attempt that isn't made because of it.
+var errStopping = errors.New("daemon is stopping")
+
+// mayBegin reports whether an attempt may begin now.
+func (h *Handler) mayBegin(e *exchange) bool {
+	return h.currentStop().Allows(time.Now(), Attempt{Received: e.received, Deadline: e.deadline, Objective: e.route.Objective})
+}
+
+// outgoing returns the request to send to a server, which has until the deadline.
+func (e *exchange) outgoing(dialect proto.Dialect, server string, deadline time.Time) *upconn.Request {
 	header := e.header.Clone()
-	dialect.SetRequestHeaders(header, time.Until(e.deadline), server)
+	dialect.SetRequestHeaders(header, time.Until(deadline), server)
 	return &upconn.Request{
 		Method:  e.request.Method,
 		Target:  e.request.RequestURI,
@@ -56,7 +69,7 @@
 func (h *Handler) run(ctx context.Context, e *exchange) (*serverResponse, localResponse) {
 	e.results = make(chan attemptResult, maxAttempts)
 	if !h.beginAttempt(ctx, e) {
-		return nil, e.noServerResponse()
+		return e.finalResponse(ctx, attemptResult{})
 	}
 	hedge := time.NewTimer(e.hedgeDelay)
 	defer hedge.Stop()
@@ -103,6 +116,10 @@
 func (h *Handler) beginAttempt(ctx context.Context, e *exchange) bool {
 	waitUntil := e.arrived.Add(max(e.route.Objective/slotWaitDivisor, minWait))
 	for slotRequests := 1; ; slotRequests++ {
+		if !h.mayBegin(e) {
+			e.refused = true
+			return false
+		}
 		lease, err := h.slots.Ask(ctx, e.service, slotRequests-1, h.slotRequest(e))
 		if err == nil {
 			h.startAttempt(ctx, e, lease)
@@ -151,7 +168,7 @@
 		Zone:      h.zone,
 		Priority:  e.route.Priority,
 		Objective: e.route.Objective,
-		Left:      time.Until(e.deadline),
+		Left:      time.Until(h.currentStop().ServerDeadline(e.deadline)),
 		Exclude:   e.history.excluded(h.avoidedServers()),
 		Repeat:    e.history.sends > 0,
 		Identity:  e.identity,
@@ -194,13 +211,18 @@
 // finalResponse returns the response to a request none of whose attempts was served.
 func (e *exchange) finalResponse(ctx context.Context, last attemptResult) (*serverResponse, localResponse) {
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	interrupted := errors.Is(context.Cause(ctx), errStopping)
 	switch {
 	case last.response != nil:
 		return last.response, localResponse{}
 	case e.history.MayHaveRun() && expired:
 		return nil, localResponse{status: http.StatusGatewayTimeout, reason: reasonDeadline}
+	case e.history.MayHaveRun() && interrupted:
+		return nil, localResponse{status: http.StatusGatewayTimeout, reason: reasonStopping}
 	case e.history.MayHaveRun():
 		return nil, localResponse{status: http.StatusBadGateway, reason: reasonNoAnswer}
+	case interrupted, e.refused, errors.Is(last.err, errStopping):
+		return nil, stoppingResponse
 	case expired:
 		return nil, localResponse{status: http.StatusServiceUnavailable, reason: reasonDeadline}
 	case last.outcome == choose.Shed || last.outcome == choose.Misdirected:
--- a/front/handler.go
+++ b/front/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,6 +32,11 @@
 	metrics *metrics
 	log     *logrus.Entry
 
+	stop          atomic.Pointer[Stop]
+	interrupts    interrupts
+	answeredAtEnd atomic.Int64
+	abortedAtEnd  atomic.Int64
+
 	mutex        sync.Mutex
 	reachability *choose.PathTracker
 	holds        *choose.Holds
@@ -59,24 +65,43 @@
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := h.newExchange(r)
+	if h.currentStop().Refuses(e.arrived) {
+		h.respondLocally(w, e, stoppingResponse)
+		return
+	}
 	if local, rejected := h.prepare(r.Context(), w, e); rejected {
 		h.respondLocally(w, e, local)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
+	ctx, interrupt := context.WithCancelCause(r.Context())
+	defer interrupt(nil)
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
+	remove := h.interrupts.add(func() { interrupt(errStopping) })
+	defer remove()
 	response, local := h.run(ctx, e)
 	switch {
 	case response != nil:
-		h.forward(w, e, response)
+		h.forward(ctx, w, e, response)
 	case errors.Is(r.Context().Err(), context.Canceled):
 		h.logAborted(e, context.Cause(r.Context()).Error())
 		panic(http.ErrAbortHandler)
 	default:
+		if errors.Is(context.Cause(ctx), errStopping) {
+			h.answeredAtEnd.Add(1)
+		}
 		h.respondLocally(w, e, local)
 	}
 }
 
+// currentStop returns the schedule of the planned stop.
+func (h *Handler) currentStop() Stop {
+	if stop := h.stop.Load(); stop != nil {
+		return *stop
+	}
+	return Stop{}
+}
+
 func (h *Handler) newExchange(r *http.Request) *exchange {
 	return &exchange{id: h.dialect.RequestID(r.Header), request: r, arrived: time.Now(), history: &History{}}
 }
@@ -113,7 +138,7 @@
 		remaining = e.route.Timeout
 	}
 	e.deadline = e.arrived.Add(remaining)
-	return h.readBody(e, limits.BodyBytes)
+	return h.readBody(w, e, limits.BodyBytes)
 }
 
 // headSize estimates the size of the request line and header fields in bytes.
@@ -178,15 +203,22 @@
 
 // readBody reads the body of a request with a route and sets the remaining fields
 // that sending it needs: body, fingerprint, service, header and history.
-func (h *Handler) readBody(e *exchange, limit int64) (localResponse, bool) {
+func (h *Handler) readBody(w http.ResponseWriter, e *exchange, limit int64) (localResponse, bool) {
 	var err error
+	remove := h.interrupts.add(func() { h.interruptBody(w, e) })
 	e.body, err = readBody(e.request, limit)
 	switch {
+	case !remove():
+		h.answeredAtEnd.Add(1)
+		return stoppingResponse, true
 	case errors.Is(err, errTooLarge):
 		return localResponse{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}, true
 	case err != nil:
 		return localResponse{status: http.StatusBadRequest, reason: reasonBodyBroken}, true
 	}
+	if e.body.resendable() {
+		e.received = time.Now()
+	}
 	e.identity = e.body.identity(e.request, h.dialect.Account(e.request.Header))
 	e.service = e.route.Pick(rand.Float64())
 	e.header = httpd.EndToEndHeaders(e.request.Header)
@@ -195,10 +227,17 @@
 	return localResponse{}, false
 }
 
+// interruptBody makes reading the body of a request fail.
+func (h *Handler) interruptBody(w http.ResponseWriter, e *exchange) {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
+		h.log.WithField("request_id", e.id).WithError(err).Debug("interrupting the request body failed")
+	}
+}
+
 // forward writes a server's response to the caller. If the server's body is cut
 // short, the caller's connection is aborted, so that the response never looks
 // complete.
-func (h *Handler) forward(w http.ResponseWriter, e *exchange, resp *serverResponse) {
+func (h *Handler) forward(ctx context.Context, w http.ResponseWriter, e *exchange, resp *serverResponse) {
 	header := w.Header()
 	for name, values := range httpd.EndToEndHeaders(resp.header) {
 		header[name] = values
@@ -209,6 +248,10 @@
 	}
 	err := h.write(w, resp)
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errStopping) {
+			h.abortedAtEnd.Add(1)
+			err = errStopping
+		}
 		h.logAborted(e, "response aborted: "+err.Error())
 		h.abort(w, e)
 		return
--- a/front/local_response.go
+++ b/front/local_response.go
@@ -36,6 +36,10 @@
 	retryAfter time.Duration
 }
 
+// stoppingResponse is the response to a request that is not sent to a server because
+// the daemon stops.
+var stoppingResponse = localResponse{status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: minRetryAfter}
+
 // outcome returns whether the request may have run, as stated to the caller.
 func (l localResponse) outcome() proto.Outcome {
 	if l.status == http.StatusBadGateway || l.status == http.StatusGatewayTimeout {
--- a/front/service.go
+++ b/front/service.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"dandeliondoor/httpd"
@@ -26,13 +27,10 @@
 
 // Service serves callers on one listener and drains without aborting requests.
 type Service struct {
-	handler     *Handler
-	server      *httpd.Server
-	balancerLag time.Duration
-	log         *logrus.Entry
-	inFlight    atomic.Int64
-	draining    atomic.Bool
-	rejecting   atomic.Bool
+	handler  *Handler
+	server   *httpd.Server
+	log      *logrus.Entry
+	inFlight atomic.Int64
 }
 
 var (
@@ -41,10 +39,9 @@
 	_ kernel.Dumper  = &Service{}
 )
 
-// NewService returns a service on a listener. The balancer keeps opening new
-// connections for balancerLag after the daemon stops being ready.
-func NewService(listener net.Listener, handler *Handler, balancerLag time.Duration, log *logrus.Entry) *Service {
-	s := &Service{handler: handler, balancerLag: balancerLag, log: log}
+// NewService returns a service on a listener.
+func NewService(listener net.Listener, handler *Handler, log *logrus.Entry) *Service {
+	s := &Service{handler: handler, log: log}
 	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve), httpd.WithReadAhead(), httpd.WithMaxHeaderBytes(maxHeaderBytes))
 	return s
 }
@@ -88,31 +85,48 @@
 }
 
 // Draining reports whether the balancer should stop sending requests.
-func (s *Service) Draining() bool { return s.draining.Load() }
+func (s *Service) Draining() bool { return s.handler.currentStop().Began() }
 
-// Drain keeps serving for the balancer's lag, then rejects new requests and waits
-// for those in flight.
-func (s *Service) Drain(ctx context.Context) error {
-	s.draining.Store(true)
+// BeginStop begins a planned stop: the balancer should stop sending requests, and each
+// response ends its connection. Drain waits for its end.
+func (s *Service) BeginStop(stop Stop) {
+	s.handler.stop.Store(&stop)
+	s.server.DisableKeepAlives()
 	s.log.WithField("in_flight", s.inFlight.Load()).Info("draining; no longer ready")
-	sleep(ctx, s.balancerLag)
-	s.rejecting.Store(true)
+}
+
+// Drain waits until new requests are refused, and then for those in flight, which it
+// ends when the stop ends.
+func (s *Service) Drain(ctx context.Context) error {
+	stop := s.handler.currentStop()
+	sleep(ctx, time.Until(stop.RefusesAt()))
 	s.log.WithField("in_flight", s.inFlight.Load()).Info("rejecting new requests")
+	endCtx, cancel := context.WithCancel(ctx)
+	ended := kernel.Run(endCtx, func(ctx context.Context) error {
+		sleep(ctx, time.Until(stop.EndsAt()))
+		if ctx.Err() == nil {
+			s.handler.interrupts.callAll()
+		}
+		return nil
+	})
 	err := s.server.Shutdown(ctx)
-	s.log.WithField("in_flight", s.inFlight.Load()).Info("drained")
+	cancel()
+	if endErr := <-ended; err == nil {
+		err = endErr
+	}
+	inFlight := s.inFlight.Load()
+	s.log.WithField("in_flight", inFlight).WithField("answered_at_end", s.handler.answeredAtEnd.Load()).
+		WithField("aborted", s.handler.abortedAtEnd.Load()+inFlight).Info("drained")
+	if errors.Is(err, context.DeadlineExceeded) && inFlight == 0 {
+		// Connections without a request may be closed.
+		return nil
+	}
 	return err
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	if s.rejecting.Load() {
-		s.handler.respondLocally(w, s.handler.newExchange(r), localResponse{status: http.StatusServiceUnavailable, reason: reasonStopping})
-		return
-	}
 	s.handler.ServeHTTP(w, r)
 }
 
@@ -124,5 +138,5 @@
 
 // Dump returns the current state.
 func (s *Service) Dump(time.Time) any {
-	return State{Draining: s.draining.Load(), InFlight: s.inFlight.Load()}
+	return State{Draining: s.Draining(), InFlight: s.inFlight.Load()}
 }
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -35,6 +35,7 @@
 	servers      []*fakes.Server
 	fronts       []*frontProcess
 	requestCount int
+	balancerLag  time.Duration
 }
 
 // frontProcess is a daemon of the front command and its addresses.
@@ -47,6 +48,9 @@
 	settingsFile string
 }
 
+// stopLimit is the time within which a daemon that is told to stop has to exit.
+const stopLimit = 6 * time.Second
+
 // newFrontConfig returns a configuration. The prefix is that of its last route.
 func newFrontConfig(version uint64, prefix string) *topo.Config {
 	souk := []topo.Target{{Service: "souk", Weight: 1}}
@@ -62,6 +66,18 @@
 				Name: "brief", Host: "souk.example", Prefix: "/brief/", Timeout: time.Second,
 				Objective: 500 * time.Millisecond, Attempts: 2, Targets: souk,
 			},
+			{
+				Name: "waits", Host: "souk.example", Prefix: "/waits/", Idempotent: true, Timeout: 20 * time.Second,
+				Objective: time.Second, Attempts: 3, Targets: souk,
+			},
+			{
+				Name: "works", Host: "souk.example", Prefix: "/works/", Timeout: 20 * time.Second,
+				Objective: time.Second, Attempts: 2, Targets: souk,
+			},
+			{
+				Name: "years", Host: "souk.example", Prefix: "/years/", Timeout: 30 * time.Second,
+				Objective: 20 * time.Second, Attempts: 2, Targets: souk,
+			},
 			{
 				Name: "bales", Host: "souk.example", Prefix: "/" + prefix + "/", Timeout: 3 * time.Second,
 				Objective: time.Second, Attempts: 2, Targets: souk,
@@ -74,7 +90,14 @@
 // ready.
 func newFrontFleet(t *testing.T, fronts, servers int) *frontFleet {
 	t.Helper()
-	f := &frontFleet{fleet: &fleet{t: t, directory: t.TempDir()}, store: fakes.NewStore()}
+	return newFrontFleetWithLag(t, fronts, servers, 300*time.Millisecond)
+}
+
+// newFrontFleetWithLag is the same with a time for which the balancer of a stopping
+// daemon still sends requests to it.
+func newFrontFleetWithLag(t *testing.T, fronts, servers int, balancerLag time.Duration) *frontFleet {
+	t.Helper()
+	f := &frontFleet{fleet: &fleet{t: t, directory: t.TempDir()}, store: fakes.NewStore(), balancerLag: balancerLag}
 	f.storeAddress = f.listen(f.store.Handler())
 	f.publishConfig(1, "bales")
 	for i := range servers {
@@ -116,9 +139,9 @@
 zone: %s
 listen: {callers: %s, readiness: %s, daemons: %s, operators: %s}
 store: {address: %s, drain_due: 2s}
-stop: {balancer_lag: 300ms, limit: 6s}
+stop: {balancer_lag: %s, limit: %s}
 logs: {level: debug}
-`, name, zone, p.callers, p.readiness, p.daemons, freeAddress(f.t), f.storeAddress)
+`, name, zone, p.callers, p.readiness, p.daemons, freeAddress(f.t), f.storeAddress, f.balancerLag, stopLimit)
 	must(f.t, os.WriteFile(p.settingsFile, []byte(text), 0o600))
 	p.process = f.start(name, "front", "--settings", p.settingsFile)
 	f.fronts = append(f.fronts, p)
