upconn: a response with a status below 100 is malformed

Such a response is now an error like others that are no HTTP, so that the caller gets 502, or the request is retried if it may be.

--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -37,6 +37,7 @@
 	errEndlessBody = errors.New("response to another request is too long")
 	errInterim     = errors.New("received too many informational responses")
 	errLongHead    = errors.New("response header is too long")
+	errLowStatus   = errors.New("response status is below 100")
 	errNoLength    = errors.New("response to another request has no length")
 	errUnmatched   = errors.New("received only responses to other requests")
 )
@@ -200,7 +201,9 @@
 			return nil, c.received.cause(err)
 		}
 		switch {
-		case response.StatusCode >= 100 && response.StatusCode < 200:
+		case response.StatusCode < http.StatusContinue:
+			return nil, errLowStatus
+		case response.StatusCode < http.StatusOK:
 			if interim++; interim > maxInterim {
 				return nil, errInterim
 			}
--- a/upconn/conn_test.go
+++ b/upconn/conn_test.go
@@ -104,6 +104,8 @@
 		{name: "interim response", responses: []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + rawResponse("0", "a")}, bodies: []string{"a"}, dials: 1},
 		{name: "connection reused", responses: []string{rawResponse("0", "a"), rawResponse("1", "b")}, bodies: []string{"a", "b"}, dials: 1},
 		{name: "not HTTP", responses: []string{"\x00\x01\x02\r\n\r\n"}, bodies: []string{""}, dials: 1},
+		// http.ResponseWriter panics on such a status, so that the caller got no response.
+		{name: "status below 100", responses: []string{"HTTP/1.1 099 X\r\n" + idHeader + ": 0\r\nContent-Length: 1\r\n\r\na"}, bodies: []string{""}, dials: 1},
 		{name: "truncated body", responses: []string{"HTTP/1.1 200 OK\r\n" + idHeader + ": 0\r\nContent-Length: 9\r\n\r\nhalf"}, bodies: []string{""}, dials: 1},
 		{name: "no response", responses: []string{""}, bodies: []string{""}, dials: 1},
 	} {
