front: a panic while a request is handled is answered

The caller now gets 500 if the request was not sent to a server and 502 otherwise, without the header of the server, and there is a log line with the stack and a metric. After a part of a response, the connection is aborted as before; http.ErrAbortHandler is unchanged.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -19,7 +19,8 @@
 // configuration that the route was looked up in. Pending counts the attempts
 // without a result so far; hedgeDelay is how long to wait for one before hedging.
 // Received is when the body was complete, zero if it is streamed. Refused is set if
-// an attempt was not begun because the daemon stops.
+// an attempt was not begun because the daemon stops, responded once the head of a
+// response may have been written.
 type exchange struct {
 	id          string
 	request     *http.Request
@@ -38,6 +39,7 @@
 	hedgeDelay  time.Duration
 	lastRefusal choose.Refused
 	refused     bool
+	responded   bool
 }
 
 // errStopping is the cause of the end of a request that the end of a stop interrupts,
--- a/front/handler.go
+++ b/front/handler.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -65,6 +67,7 @@
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := h.newExchange(r)
+	defer h.recoverPanic(w, e)
 	if h.currentStop().Refuses(e.arrived) {
 		h.respondLocally(w, e, stoppingResponse)
 		return
@@ -94,6 +97,33 @@
 	}
 }
 
+// recoverPanic responds to a request whose handling has panicked, since net/http would
+// close the connection without a response.
+func (h *Handler) recoverPanic(w http.ResponseWriter, e *exchange) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, isErr := cause.(error); isErr && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	h.metrics.panics.Inc()
+	h.log.WithField("request_id", e.id).WithField("panic", fmt.Sprint(cause)).
+		WithField("stack", string(debug.Stack())).Error("handling a request panicked")
+	if e.responded {
+		h.abort(w, e)
+		return
+	}
+	// The header may hold that of a server's response.
+	clear(w.Header())
+	w.Header().Set("Connection", "close")
+	local := localResponse{status: http.StatusInternalServerError, reason: reasonInternal}
+	if e.history.sends > 0 {
+		local.status = http.StatusBadGateway
+	}
+	h.respondLocally(w, e, local)
+}
+
 // currentStop returns the schedule of the planned stop.
 func (h *Handler) currentStop() Stop {
 	if stop := h.stop.Load(); stop != nil {
@@ -246,7 +276,7 @@
 		// A nil value keeps net/http from adding a Content-Type of its own.
 		header["Content-Type"] = nil
 	}
-	err := h.write(w, resp)
+	err := h.write(w, e, resp)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errStopping) {
 			h.abortedAtEnd.Add(1)
@@ -274,10 +304,11 @@
 	}
 }
 
-func (h *Handler) write(w http.ResponseWriter, resp *serverResponse) error {
+func (h *Handler) write(w http.ResponseWriter, e *exchange, resp *serverResponse) error {
 	if resp.rest == nil {
 		w.Header().Set("Content-Length", contentLength(resp))
 		w.WriteHeader(resp.status)
+		e.responded = true
 		_, err := w.Write(resp.buffered)
 		return ignoreNoBody(err)
 	}
@@ -285,6 +316,7 @@
 		w.Header().Set("Content-Length", contentLength(resp))
 	}
 	w.WriteHeader(resp.status)
+	e.responded = true
 	_, err := w.Write(resp.buffered)
 	if err == nil {
 		_, err = io.Copy(w, resp.rest)
@@ -302,6 +334,7 @@
 	h.logEntry(e).WithField("status", local.status).WithField("reason", local.reason).
 		WithField("refused", e.lastRefusal.Reason).WithField("fingerprint", e.identity.Caller.String()).
 		WithField("content", e.identity.Content.String()).Info("request answered without a server")
+	e.responded = true
 	if err := local.write(w, e.id); err != nil {
 		h.log.WithField("request_id", e.id).WithError(err).Debug("writing the response to the caller failed")
 	}
--- a/front/local_response.go
+++ b/front/local_response.go
@@ -20,6 +20,7 @@
 	reasonCrashes      reason = "crashes_servers"
 	reasonDeadline     reason = "deadline"
 	reasonHeadTooLarge reason = "request_head_too_large"
+	reasonInternal     reason = "internal_fault"
 	reasonStopping     reason = "daemon_is_stopping"
 	reasonNoAnswer     reason = "no_answer"
 	reasonNoID         reason = "no_request_id"
