front: the causes of ended requests can be told apart

The line and the new metric now name the cause: caller_left, idle, deadline, server or daemon_stopping.

TestFrontStopSignals is new and passed before, too: further signals and changed settings have no effect on a stop.

--- a/front/handler.go
+++ b/front/handler.go
@@ -87,7 +87,7 @@
 	case response != nil:
 		h.forward(ctx, w, e, response)
 	case errors.Is(r.Context().Err(), context.Canceled):
-		h.logAborted(e, context.Cause(r.Context()).Error())
+		h.logAborted(e, context.Cause(r.Context()))
 		panic(http.ErrAbortHandler)
 	default:
 		if errors.Is(context.Cause(ctx), errStopping) {
@@ -278,11 +278,13 @@
 	}
 	err := h.write(w, e, resp)
 	if err != nil {
-		if errors.Is(context.Cause(ctx), errStopping) {
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		if errors.Is(err, errStopping) {
 			h.abortedAtEnd.Add(1)
-			err = errStopping
 		}
-		h.logAborted(e, "response aborted: "+err.Error())
+		h.logAborted(e, errors.Wrap(err, "response aborted"))
 		h.abort(w, e)
 		return
 	}
@@ -340,8 +342,10 @@
 	}
 }
 
-func (h *Handler) logAborted(e *exchange, cause string) {
-	h.logEntry(e).WithField("end", cause).Info("request ended")
+func (h *Handler) logAborted(e *exchange, err error) {
+	cause := endCauseOf(err)
+	h.metrics.ended.WithLabelValues(string(cause)).Inc()
+	h.logEntry(e).WithField("cause", cause).WithField("end", err.Error()).Info("request ended")
 }
 
 func (h *Handler) logEntry(e *exchange) *logrus.Entry {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -17,6 +17,7 @@
 	hedges         prometheus.Counter
 	localResponses *prometheus.CounterVec
 	panics         prometheus.Counter
+	ended          *prometheus.CounterVec
 }
 
 // The histogram buckets of the response time, in seconds: 5 ms to 10 s.
@@ -58,7 +59,11 @@
 		Name: "dandeliondoor_front_panics_total",
 		Help: "Requests whose handling failed because of a fault of this daemon.",
 	})
-	registry.MustRegister(m.responses, m.attempts, m.connections, m.durations, m.hedges, m.localResponses, m.panics)
+	m.ended = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "dandeliondoor_front_ended_total",
+		Help: "Requests that ended without a complete response, by cause.",
+	}, []string{"cause"})
+	registry.MustRegister(m.responses, m.attempts, m.connections, m.durations, m.hedges, m.localResponses, m.panics, m.ended)
 	return m
 }
 
--- a/procs/front_stop_test.go
+++ b/procs/front_stop_test.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -123,6 +126,92 @@
 	f.t.Error("there is no line at the end of the stop")
 }
 
+// checkEnds checks how a daemon's log says that requests ended without a complete answer.
+func (f *frontFleet) checkEnds(p *frontProcess, want map[string]string) {
+	f.t.Helper()
+	f.eventually("the ends of the requests in the log", func() bool {
+		ends := make(map[string]string)
+		for line := range strings.Lines(p.output.String()) {
+			var entry struct {
+				Message string `json:"msg"`
+				ID      string `json:"request_id"`
+				Cause   string `json:"cause"`
+			}
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Message == "request ended" {
+				ends[entry.ID] = entry.Cause
+			}
+		}
+		return maps.Equal(ends, want)
+	})
+}
+
+// TestFrontEndCauses ends requests without a complete answer in several ways. The log
+// and the metric must tell these apart. Issue 27: all lines said that the caller left.
+func TestFrontEndCauses(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 1, 3)
+	p := f.fronts[0]
+	f.setServerFaults(fakes.ServerFaults{Short: true, Size: 4 << 20})
+	<-f.post(p, "/works/1", "cut")
+	f.setServerFaults(fakes.ServerFaults{EndlessBody: true})
+	<-f.post(p, "/brief/1", "late")
+	stream := f.post(p, "/works/2", "stream")
+	f.waitArrival("stream")
+	f.setServerFaults(fakes.ServerFaults{Work: 3 * time.Second})
+	conn, err := net.Dial("tcp", p.callers.String())
+	must(t, err)
+	_, err = io.WriteString(conn, "POST /works/3 HTTP/1.1\r\nHost: souk.example\r\n"+proto.HeaderRequestID+": left\r\nContent-Length: 0\r\n\r\n")
+	must(t, err)
+	f.waitArrival("left")
+	must(t, conn.Close())
+	ends := map[string]string{"cut": "server", "late": "deadline", "left": "caller_left"}
+	f.checkEnds(p, ends)
+	metrics, err := http.Get("http://" + p.operators.String() + "/metrics")
+	must(t, err)
+	defer metrics.Body.Close()
+	text, err := io.ReadAll(metrics.Body)
+	must(t, err)
+	for _, cause := range ends {
+		if line := fmt.Sprintf("dandeliondoor_front_ended_total{cause=%q} 1\n", cause); !strings.Contains(string(text), line) {
+			t.Errorf("the metrics lack %s", line)
+		}
+	}
+	began := f.stop(p)
+	<-stream
+	f.checkExit(p, began)
+	ends["stream"] = "daemon_stopping"
+	f.checkEnds(p, ends)
+}
+
+// TestFrontStopSignals sends more signals and new settings to a daemon that is stopping,
+// some of them invalid. It must go on as before.
+func TestFrontStopSignals(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 1, 2)
+	p := f.fronts[0]
+	f.setServerFaults(fakes.ServerFaults{Work: 3 * time.Second})
+	pending := f.post(p, "/works/1", "pending")
+	f.waitArrival("pending")
+	began := f.stop(p)
+	settings, err := os.ReadFile(p.settingsFile)
+	must(t, err)
+	for i := range 10 {
+		time.Sleep(200 * time.Millisecond)
+		text := strings.Replace(string(settings), "limit: 6s", "limit: 1s", 1)
+		if i%2 == 0 {
+			text = "name: ["
+		}
+		must(t, os.WriteFile(p.settingsFile, []byte(text), 0o600))
+		for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1} {
+			p.signal(t, signal)
+		}
+	}
+	if answer := <-pending; answer.err != nil || answer.status != http.StatusOK {
+		t.Errorf("got %+v, want status 200", answer)
+	}
+	f.checkExit(p, began)
+}
+
 // checkRefused checks that a request was refused because the daemon stops, and that no
 // server got it.
 func (f *frontFleet) checkRefused(id string, answer stopAnswer) {
--- a/procs/front_test.go
+++ b/procs/front_test.go
@@ -45,6 +45,7 @@
 	callers      netip.AddrPort
 	readiness    netip.AddrPort
 	daemons      netip.AddrPort
+	operators    netip.AddrPort
 	settingsFile string
 }
 
@@ -133,6 +134,7 @@
 func (f *frontFleet) startFront(name, zone string) *frontProcess {
 	p := &frontProcess{
 		callers: freeAddress(f.t), readiness: freeAddress(f.t), daemons: freeAddress(f.t),
+		operators:    freeAddress(f.t),
 		settingsFile: filepath.Join(f.directory, name+".yaml"),
 	}
 	text := fmt.Sprintf(`name: %s
@@ -141,7 +143,7 @@
 store: {address: %s, drain_due: 2s}
 stop: {balancer_lag: %s, limit: %s}
 logs: {level: debug}
-`, name, zone, p.callers, p.readiness, p.daemons, freeAddress(f.t), f.storeAddress, f.balancerLag, stopLimit)
+`, name, zone, p.callers, p.readiness, p.daemons, p.operators, f.storeAddress, f.balancerLag, stopLimit)
 	must(f.t, os.WriteFile(p.settingsFile, []byte(text), 0o600))
 	p.process = f.start(name, "front", "--settings", p.settingsFile)
 	f.fronts = append(f.fronts, p)
