front: a request that no server was granted for is refused as before

A request that had no attempt because its deadline passed was answered with the reason deadline since the change of the planned stop, without a useful Retry-After, instead of no_server (seen in a review, no test failed).

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -71,7 +71,7 @@
 func (h *Handler) run(ctx context.Context, e *exchange) (*serverResponse, localResponse) {
 	e.results = make(chan attemptResult, maxAttempts)
 	if !h.beginAttempt(ctx, e) {
-		return e.finalResponse(ctx, attemptResult{})
+		return nil, e.unsentResponse(ctx)
 	}
 	hedge := time.NewTimer(e.hedgeDelay)
 	defer hedge.Stop()
@@ -239,6 +239,14 @@
 // server was granted for.
 const minRetryAfter = 100 * time.Millisecond
 
+// unsentResponse returns the response to a request that no attempt was begun for.
+func (e *exchange) unsentResponse(ctx context.Context) localResponse {
+	if e.refused || errors.Is(context.Cause(ctx), errStopping) {
+		return stoppingResponse
+	}
+	return e.noServerResponse()
+}
+
 // noServerResponse returns the response to a request that no server was granted for.
 func (e *exchange) noServerResponse() localResponse {
 	local := localResponse{
