--- a/front/metrics.go
+++ b/front/metrics.go
@@ -17,6 +17,8 @@
 	hedges         prometheus.Counter
 	localResponses *prometheus.CounterVec
 	unhandled      *prometheus.CounterVec
+	panics         prometheus.Counter
+	ended          *prometheus.CounterVec
 }
 
 // The histogram buckets of the response time, in seconds: 5 ms to 10 s.
@@ -58,7 +60,15 @@
 			Help: "Requests read from a connection that ended before they were handled, by cause of the end.",
 		}, []string{"cause"}),
 	}
-	registry.MustRegister(m.responses, m.attempts, m.connections, m.durations, m.hedges, m.localResponses, m.unhandled)
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "dandeliondoor_front_panics_total",
+		Help: "Requests whose handling failed because of a fault of this daemon.",
+	})
+	m.ended = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "dandeliondoor_front_ended_total",
+		Help: "Requests that ended without a complete response, by cause.",
+	}, []string{"cause"})
+	registry.MustRegister(m.responses, m.attempts, m.connections, m.durations, m.hedges, m.localResponses, m.unhandled, m.panics, m.ended)
 	return m
 }
 
