httpd: a failing test for a response that waits for the rest of a body

TestResponseBeforeRestOfBody fails: "no response: read tcp ...: i/o timeout" after 3 s, for a body with a length and a chunked one. Unless the connection is closed behind the response, net/http first reads up to 256 KB of the body and only then writes the head. A caller that sends slowly, or waits for the response, gets no refusal, and at the end of a planned stop none at all.

--- a/httpd/closing_test.go
+++ b/httpd/closing_test.go
@@ -338,3 +338,35 @@
 		}
 	}
 }
+
+// TestResponseBeforeRestOfBody sends a part of a body and waits. It guards against a
+// response that is held back until the caller has sent the rest.
+func TestResponseBeforeRestOfBody(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		sent string
+	}{
+		{name: "length", sent: "POST / HTTP/1.1\r\nHost: souk.example\r\nContent-Length: 1000\r\n\r\nlot"},
+		{name: "chunked", sent: "POST / HTTP/1.1\r\nHost: souk.example\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nlot\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			_, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, test.sent); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+				t.Errorf("no response: %v", err)
+			}
+		})
+	}
+}
