procs: a failing test for bodies that come slowly

TestFrontSlowBody fails: "no answer: read tcp ...: i/o timeout" after 10 s on a route with a timeout of 1 s, for a body with a length, a chunked one, and one that is passed on while it comes. front reads a body without a deadline, and for the third net/http waits for a read of the body that never returns before it writes the head.

--- a/procs/response_test.go
+++ b/procs/response_test.go
@@ -128,3 +128,55 @@
 		}
 	}
 }
+
+// slowBody is a part of a request body, and the status that its caller gets at the
+// route's timeout.
+type slowBody struct {
+	name   string
+	sent   string
+	status int
+}
+
+var slowBodies = []slowBody{
+	{name: "length", sent: "Content-Length: 10\r\n\r\nlot", status: http.StatusRequestTimeout},
+	{name: "chunked", sent: "Transfer-Encoding: chunked\r\n\r\n3\r\nlot\r\n", status: http.StatusRequestTimeout},
+	{name: "passed on while it comes", sent: "Content-Length: 300000\r\n\r\nlot", status: http.StatusGatewayTimeout},
+}
+
+// TestFrontSlowBody sends a part of a request body and waits. It guards against a caller
+// that gets no answer at the route's timeout since the rest of the body has not come.
+func TestFrontSlowBody(t *testing.T) {
+	t.Parallel()
+	f := newFrontFleet(t, 1, 1)
+	config := newFrontConfig(2, "sacks")
+	config.Limits.BodyBytes = 1 << 20
+	data, err := platform.EncodeConfig(config)
+	must(t, err)
+	f.store.Put(platform.OperatorTopic, platform.ConfigKey, data)
+	f.eventually("version 2 to be in force", func() bool {
+		_, status, _, err := f.send(f.fronts[0], http.MethodPost, "/sacks/1", "")
+		return err == nil && status == http.StatusOK
+	})
+	for _, test := range slowBodies {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			conn, err := net.Dial("tcp", f.fronts[0].callers.String())
+			must(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST /brief/1 HTTP/1.1\r\nHost: souk.example\r\n"+proto.HeaderRequestID+": "+test.name+
+				"\r\n"+proto.HeaderDeadline+": 2500\r\n"+test.sent)
+			must(t, err)
+			must(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if response.StatusCode != test.status {
+				t.Errorf("got status %d, want %d", response.StatusCode, test.status)
+			}
+			if runs := f.runCount(test.name); runs > 0 {
+				t.Errorf("an incomplete request ran %d times", runs)
+			}
+		})
+	}
+}
