--- a/procs/response_test.go
+++ b/procs/response_test.go
@@ -129,15 +129,15 @@
 	}
 }
 
-// slowBody is a part of a request body, and the status that its caller gets at the
+// partialBody is a part of a request body, and the status that its caller gets at the
 // route's timeout.
-type slowBody struct {
+type partialBody struct {
 	name   string
 	sent   string
 	status int
 }
 
-var slowBodies = []slowBody{
+var partialBodies = []partialBody{
 	{name: "length", sent: "Content-Length: 10\r\n\r\nlot", status: http.StatusRequestTimeout},
 	{name: "chunked", sent: "Transfer-Encoding: chunked\r\n\r\n3\r\nlot\r\n", status: http.StatusRequestTimeout},
 	{name: "passed on while it comes", sent: "Content-Length: 300000\r\n\r\nlot", status: http.StatusGatewayTimeout},
@@ -157,7 +157,7 @@
 		_, status, _, err := f.send(f.fronts[0], http.MethodPost, "/sacks/1", "")
 		return err == nil && status == http.StatusOK
 	})
-	for _, test := range slowBodies {
+	for _, test := range partialBodies {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			conn, err := net.Dial("tcp", f.fronts[0].callers.String())
