procs: a partial body that has been passed on, and one that has not

A body of three bytes stays in the send buffer, so 503 is right for it: nothing was sent. The case that expects 504 sends 30,000 bytes.

--- a/procs/response_test.go
+++ b/procs/response_test.go
@@ -140,7 +140,12 @@
 var partialBodies = []partialBody{
 	{name: "length", sent: "Content-Length: 10\r\n\r\nlot", status: http.StatusRequestTimeout},
 	{name: "chunked", sent: "Transfer-Encoding: chunked\r\n\r\n3\r\nlot\r\n", status: http.StatusRequestTimeout},
-	{name: "passed on while it comes", sent: "Content-Length: 300000\r\n\r\nlot", status: http.StatusGatewayTimeout},
+	{name: "not yet passed on", sent: "Content-Length: 300000\r\n\r\nlot", status: http.StatusServiceUnavailable},
+	{
+		name:   "passed on while it comes",
+		sent:   "Content-Length: 300000\r\n\r\n" + strings.Repeat("lot", 10000),
+		status: http.StatusGatewayTimeout,
+	},
 }
 
 // TestFrontSlowBody sends a part of a request body and waits. It guards against a caller
