--- a/choose/holds_test.go
+++ b/choose/holds_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dandeliondoor/choose"
 	"dandeliondoor/topo"
 )
@@ -82,3 +84,47 @@
 		f.now = f.now.Add(200 * time.Millisecond)
 	}
 }
+
+// TestHoldsInAnyOrder plays answers of servers, lists and restarts in any order. A server
+// must be held exactly while the answers of its current start ask for that.
+func TestHoldsInAnyOrder(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		holds, now := choose.NewHolds(), time.Now()
+		born := map[string]int64{"i-1": 1, "i-2": 1, "i-3": 1}
+		leaving, pausedUntil := make(map[string]bool), make(map[string]time.Time)
+		listed := make(map[string]topo.Server)
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "passed_ms")) * time.Millisecond)
+			id := rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "server")
+			server := topo.Server{ID: id, Born: born[id]}
+			switch rapid.SampledFrom([]string{"leave", "pause", "list", "lapse", "restart", "answer of an earlier start"}).Draw(t, "event") {
+			case "leave":
+				holds.Leave(now, server)
+				leaving[id] = true
+			case "pause":
+				period := time.Duration(rapid.IntRange(1, 20000).Draw(t, "period_ms")) * time.Millisecond
+				holds.Pause(now, server, period)
+				if end := now.Add(period); end.After(pausedUntil[id]) {
+					pausedUntil[id] = end
+				}
+			case "list":
+				listed[id] = server
+			case "lapse":
+				delete(listed, id)
+			case "restart":
+				born[id]++
+				leaving[id], pausedUntil[id] = false, time.Time{}
+			case "answer of an earlier start":
+				holds.Leave(now, topo.Server{ID: id, Born: born[id] - 1})
+			}
+			held := holds.Held(now, listed)
+			for id, server := range listed {
+				want := server.Born == born[id] && (leaving[id] || now.Before(pausedUntil[id]))
+				if server.Born == born[id] && slices.Contains(held, id) != want {
+					t.Fatalf("%s held: %t, want %t", id, !want, want)
+				}
+			}
+		}
+	})
+}
