entry: requests that a stop cancels descend from the context of Start

golangci-lint run ./... reported the callers of NewService (contextcheck): it made a context of its own.

--- a/entry/service.go
+++ b/entry/service.go
@@ -55,9 +55,7 @@
 func NewService(
 	listener net.Listener, handler *Handler, client *grant.Client, balancerLag time.Duration, log *logrus.Entry,
 ) *Service {
-	stopping, stop := context.WithCancel(context.Background())
-	s := &Service{handler: handler, client: client, stop: stop, balancerLag: balancerLag, log: log}
-	s.whenStopping = func(call func()) func() bool { return context.AfterFunc(stopping, call) }
+	s := &Service{handler: handler, client: client, balancerLag: balancerLag, log: log}
 	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve))
 	return s
 }
@@ -67,6 +65,9 @@
 
 // Start serves requests until the context ends.
 func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) (<-chan error, error) {
+	stopping, stop := context.WithCancel(ctx)
+	s.stop = stop
+	s.whenStopping = func(call func()) func() bool { return context.AfterFunc(stopping, call) }
 	return kernel.Run(ctx, s.server.Serve), nil
 }
 
