httpd: a late head doesn't cut the request before it

This came with the header timeout of partial heads, which looked at the head alone. A connection now expires for a head only if all requests before it have been answered.

TestHeadBehindRequest failed before: "the request was handled and got no response: unexpected EOF".

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -298,6 +298,12 @@
 	return c.err == nil && len(c.unread) == 0 && c.parser.betweenRequests() && c.parser.heads == c.finished
 }
 
+// isWaitingForHead reports whether all requests have been answered and a part of the head
+// of another one has been read.
+func (c *callerConn) isWaitingForHead() bool {
+	return c.err == nil && len(c.unread) == 0 && c.parser.inHead && c.parser.heads == c.finished
+}
+
 // closeExpired closes the connection if it has waited for a request, or for the rest of
 // a head, longer than the limits allow.
 func (c *callerConn) closeExpired(now time.Time, limits Limits) {
@@ -307,7 +313,7 @@
 			return ErrHeaderTimeout
 		case c.isWaiting() && c.finished > 0 && now.Sub(c.waitingSince) > max(limits.IdleTimeout, c.idleLimit):
 			return ErrIdle
-		case c.err == nil && len(c.unread) == 0 && c.parser.inHead && now.Sub(c.headSince) > limits.HeaderTimeout:
+		case c.isWaitingForHead() && now.Sub(c.headSince) > limits.HeaderTimeout:
 			return ErrHeaderTimeout
 		default:
 			return nil
