httpd: an empty line behind a body is not a request

net/http ignores an empty line behind the body of a POST. The framing parser counted it as a head, so that the connection was waiting for a response for good: it was never closed as idle, and a shutdown waited for it until its context ended.

TestEmptyLineBehindBody failed before: "the connection was not closed: i/o timeout" and "shut down HTTP server: context deadline exceeded".

--- a/httpd/framing.go
+++ b/httpd/framing.go
@@ -10,9 +10,11 @@
 // framingParser parses the framing headers of the requests on a connection. This
 // duplicates work of net/http, because net/http removes the Content-Length header
 // of a request that also has Transfer-Encoding and so hides the ambiguity. Heads counts
-// the heads that are complete; inHead is set within an incomplete one.
+// the heads that are complete; inHead is set within an incomplete one, hasLine once it has
+// a line that is not empty.
 type framingParser struct {
 	line          []byte
+	hasLine       bool
 	heads         int
 	inHead        bool
 	bodyRemaining int64
@@ -55,9 +57,16 @@
 func (f *framingParser) endLine() {
 	line := bytes.TrimRight(f.line, "\r")
 	f.line = f.line[:0]
-	if len(line) == 0 {
+	switch {
+	case len(line) > 0:
+		f.hasLine = true
+	case f.hasLine:
 		f.endHead()
 		return
+	default:
+		// Empty lines before a request are not a part of it.
+		f.inHead = false
+		return
 	}
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found {
@@ -77,7 +86,7 @@
 // request.
 func (f *framingParser) endHead() {
 	f.heads++
-	f.inHead = false
+	f.inHead, f.hasLine = false, false
 	if f.hasEncoding {
 		f.chunked.Store(true)
 		f.ambiguous.Store(f.hasLength)
@@ -96,7 +105,7 @@
 // headsWith returns how many heads there are once data has been parsed, too.
 func (f *framingParser) headsWith(data []byte) int {
 	ahead := framingParser{
-		line: bytes.Clone(f.line), heads: f.heads, bodyRemaining: f.bodyRemaining,
+		line: bytes.Clone(f.line), hasLine: f.hasLine, heads: f.heads, bodyRemaining: f.bodyRemaining,
 		stopped: f.stopped, length: f.length, hasLength: f.hasLength, hasEncoding: f.hasEncoding,
 	}
 	ahead.parse(data)
--- a/httpd/sweep_test.go
+++ b/httpd/sweep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -33,6 +34,47 @@
 	}
 }
 
+// TestEmptyLineBehindBody sends an empty line behind the body of a request, which some
+// callers do. It guards against a connection that is never closed after that.
+func TestEmptyLineBehindBody(t *testing.T) {
+	t.Parallel()
+	const post = "POST / HTTP/1.1\r\nHost: souk.example\r\nContent-Length: 3\r\n\r\nlot\r\n"
+	for _, test := range []struct {
+		name string
+		end  func(server *httpd.Server)
+	}{
+		{name: "idle", end: func(server *httpd.Server) {
+			server.CloseExpired(time.Now().Add(time.Hour), httpd.Limits{IdleTimeout: time.Second})
+		}},
+		{name: "shutdown", end: func(server *httpd.Server) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			if err := server.Shutdown(ctx); err != nil {
+				t.Error(err)
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			server, address := startServer(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+			conn := dialServer(t, address)
+			reader := bufio.NewReader(conn)
+			for range 2 {
+				if _, err := io.WriteString(conn, post); err != nil {
+					t.Fatal(err)
+				}
+				readResponse(t, reader)
+			}
+			time.Sleep(50 * time.Millisecond)
+			test.end(server)
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if _, err := reader.ReadByte(); err != io.EOF {
+				t.Errorf("the connection was not closed: %v", err)
+			}
+		})
+	}
+}
+
 // dialServer opens a connection that the end of the test closes.
 func dialServer(t *testing.T, address string) net.Conn {
 	t.Helper()
