httpd: a read and its record are one step under the mutex

A connection that looked idle was closed although a request had just been read from it: the read had emptied the socket, and what it had read was not recorded yet, so that neither the record nor the look at the socket showed the request. On a machine with little processor time, the two may be far apart. The connection is now read under its mutex, as soon as the socket has bytes, so that whoever holds the mutex finds each byte in one of the two places. Waiting for bytes doesn't hold the mutex.

TestSweepBetweenReadAndRecord failed before, with and without read-ahead: "the request was read and got no response: unexpected EOF".

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -68,30 +68,32 @@
 	defer close(c.readLoopDone)
 	buffer := make([]byte, 4<<10)
 	for {
-		count, err := c.Conn.Read(buffer)
-		if !c.push(buffer[:count], err) {
+		if _, err := receive(c.Conn, &c.mutex, buffer, c.push); err != nil {
 			return
 		}
+		c.waitForSpace()
 	}
 }
 
-// push stores the result of a read, blocks while there is too much unread data,
-// and reports whether to continue reading. It drops what comes after the end.
-func (c *callerConn) push(data []byte, err error) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+// push stores the result of a read. It drops what comes after the end.
+func (c *callerConn) push(data []byte, err error) {
 	if c.err != nil {
-		return err == nil
+		return
 	}
 	c.unread = append(c.unread, data...)
 	if err != nil {
 		c.end(err)
 	}
 	c.changed.Broadcast()
+}
+
+// waitForSpace blocks while there is too much unread data.
+func (c *callerConn) waitForSpace() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	for c.err == nil && len(c.unread) >= maxReadAhead {
 		c.changed.Wait()
 	}
-	return err == nil
 }
 
 // end records that the connection ended, and tells the handler of a request why.
@@ -148,13 +150,15 @@
 }
 
 func (c *callerConn) readDirectly(data []byte) (int, error) {
-	count, err := c.Conn.Read(data)
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.err != nil {
-		return 0, c.err
+	var endErr error
+	count, err := receive(c.Conn, &c.mutex, data, func(read []byte, _ error) {
+		if endErr = c.err; endErr == nil {
+			c.parse(time.Now(), read)
+		}
+	})
+	if endErr != nil {
+		return 0, endErr
 	}
-	c.parse(time.Now(), data[:count])
 	return count, err
 }
 
--- a/httpd/sweep_test.go
+++ b/httpd/sweep_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"dandeliondoor/httpd"
+	"dandeliondoor/kernel"
 )
 
 // TestHeadBehindRequest lets the head of a pipelined request be late while the request
@@ -75,6 +77,102 @@
 	}
 }
 
+// lateReadListener accepts connections whose reads return late with what they have read.
+type lateReadListener struct {
+	net.Listener
+
+	read    chan struct{}
+	proceed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l lateReadListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateReadConn{Conn: conn, listener: l}, nil
+}
+
+type lateReadConn struct {
+	net.Conn
+
+	listener lateReadListener
+}
+
+// Read implements net.Conn.
+func (c *lateReadConn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	if count > 0 {
+		c.listener.read <- struct{}{}
+		<-c.listener.proceed
+	}
+	return count, err
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *lateReadConn) SyscallConn() (syscall.RawConn, error) {
+	rawConn, err := c.Conn.(syscall.Conn).SyscallConn()
+	return &lateRawConn{RawConn: rawConn, listener: c.listener}, err
+}
+
+type lateRawConn struct {
+	syscall.RawConn
+
+	listener lateReadListener
+}
+
+// Read implements syscall.RawConn.
+func (c *lateRawConn) Read(read func(descriptor uintptr) bool) error {
+	err := c.RawConn.Read(read)
+	if err == nil {
+		c.listener.read <- struct{}{}
+		<-c.listener.proceed
+	}
+	return err
+}
+
+// TestSweepBetweenReadAndRecord sweeps after a request has been read from the network
+// and before the connection knows of it. It guards against a connection that is closed
+// as idle although a request has been read from it.
+func TestSweepBetweenReadAndRecord(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		options []httpd.Option
+	}{
+		{name: "read-ahead", options: []httpd.Option{httpd.WithReadAhead()}},
+		{name: "no read-ahead"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			late := lateReadListener{Listener: listener, read: make(chan struct{}, 9), proceed: make(chan struct{})}
+			server := httpd.NewServer(late, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), test.options...)
+			ctx, cancel := context.WithCancel(context.Background())
+			served := kernel.Run(ctx, server.Serve)
+			defer func() {
+				cancel()
+				<-served
+			}()
+			conn := dialServer(t, listener.Addr().String())
+			if _, err := io.WriteString(conn, shortRequest); err != nil {
+				t.Fatal(err)
+			}
+			<-late.read
+			server.CloseExpired(time.Now().Add(time.Hour), httpd.Limits{HeaderTimeout: time.Second, IdleTimeout: time.Second})
+			close(late.proceed)
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+				t.Errorf("the request was read and got no response: %v", err)
+			}
+		})
+	}
+}
+
 // dialServer opens a connection that the end of the test closes.
 func dialServer(t *testing.T, address string) net.Conn {
 	t.Helper()
