front: a request whose body stalls is answered at its deadline

A caller that had stopped sending in the middle of a body got no answer at the timeout of the route: one of up to 256 KiB was read without a time limit; for a larger one, which is passed on while it comes, net/http waited for more of the body before it wrote the response. Reading a short body now ends at the request's deadline, with a 503, since no server got the request. The response to a larger one that has not come whole announces the end of its connection, behind which net/http doesn't wait for the rest.

TestFrontStalledUpload failed before in the two cases of a deadline: no answer 8 s after the request, when the caller ended the body, with a route timeout of 1 s. The two cases of a stop passed.

--- a/front/handler.go
+++ b/front/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -235,12 +236,18 @@
 // that sending it needs: body, fingerprint, service, header and history.
 func (h *Handler) readBody(w http.ResponseWriter, e *exchange, limit int64) (localResponse, bool) {
 	var err error
-	remove := h.interrupts.add(func() { h.interruptBody(w, e) })
+	if e.request.ContentLength != 0 {
+		// Without a body, net/http reads ahead already, and must not time out.
+		h.setBodyDeadline(w, e, e.deadline)
+	}
+	remove := h.interrupts.add(func() { h.setBodyDeadline(w, e, time.Now()) })
 	e.body, err = readBody(e.request, limit)
 	switch {
 	case !remove():
 		h.answeredAtEnd.Add(1)
 		return stoppingResponse, true
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return localResponse{status: http.StatusServiceUnavailable, reason: reasonDeadline}, true
 	case errors.Is(err, errTooLarge):
 		return localResponse{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}, true
 	case err != nil:
@@ -248,6 +255,9 @@
 	}
 	if e.body.resendable() {
 		e.received = time.Now()
+	} else {
+		// A read that times out would cancel the request.
+		h.setBodyDeadline(w, e, time.Time{})
 	}
 	e.identity = e.body.identity(e.request, h.dialect.Account(e.request.Header))
 	e.service = e.route.Pick(rand.Float64())
@@ -257,10 +267,18 @@
 	return localResponse{}, false
 }
 
-// interruptBody makes reading the body of a request fail.
-func (h *Handler) interruptBody(w http.ResponseWriter, e *exchange) {
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
-		h.log.WithField("request_id", e.id).WithError(err).Debug("interrupting the request body failed")
+// setBodyDeadline sets the time after which reading the body of a request fails.
+func (h *Handler) setBodyDeadline(w http.ResponseWriter, e *exchange, deadline time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		h.log.WithField("request_id", e.id).WithError(err).Debug("limiting the time to read the request body failed")
+	}
+}
+
+// closeBehindBody announces that the connection ends if a body that is passed on has not
+// been received whole. Otherwise net/http would first wait for more of it.
+func closeBehindBody(w http.ResponseWriter, e *exchange) {
+	if e.body != nil && !e.body.complete() {
+		w.Header().Set("Connection", "close")
 	}
 }
 
@@ -276,6 +294,7 @@
 		// A nil value keeps net/http from adding a Content-Type of its own.
 		header["Content-Type"] = nil
 	}
+	closeBehindBody(w, e)
 	err := h.write(w, e, resp)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -336,6 +355,7 @@
 	h.logEntry(e).WithField("status", local.status).WithField("reason", local.reason).
 		WithField("refused", e.lastRefusal.Reason).WithField("fingerprint", e.identity.Caller.String()).
 		WithField("content", e.identity.Content.String()).Info("request answered without a server")
+	closeBehindBody(w, e)
 	e.responded = true
 	if err := local.write(w, e.id); err != nil {
 		h.log.WithField("request_id", e.id).WithError(err).Debug("writing the response to the caller failed")
