--- a/httpd/closing_test.go
+++ b/httpd/closing_test.go
@@ -340,6 +340,31 @@
 	}
 }
 
+// TestShutdownWhileLingering lets a shutdown time out while the only connection waits for
+// its caller to close it. It guards against a stop that fails because of a caller that
+// has its response.
+func TestShutdownWhileLingering(t *testing.T) {
+	t.Parallel()
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) { time.Sleep(100 * time.Millisecond) })
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, shortRequest); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		t.Errorf("the shutdown failed: %v", err)
+	}
+	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+		t.Errorf("no response: %v", err)
+	}
+}
+
 // TestResponseBeforeRestOfBody sends a part of a body and waits. It guards against a
 // response that is held back until the caller has sent the rest.
 func TestResponseBeforeRestOfBody(t *testing.T) {
@@ -371,28 +396,3 @@
 		})
 	}
 }
-
-// TestShutdownWhileLingering lets a shutdown time out while the only connection waits for
-// its caller to close it. It guards against a stop that fails because of a caller that
-// has its response.
-func TestShutdownWhileLingering(t *testing.T) {
-	t.Parallel()
-	server, address := startServer(t, func(http.ResponseWriter, *http.Request) { time.Sleep(100 * time.Millisecond) })
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if _, err := io.WriteString(conn, shortRequest); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(50 * time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		t.Errorf("the shutdown failed: %v", err)
-	}
-	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
-		t.Errorf("no response: %v", err)
-	}
-}
