--- a/entry/service.go
+++ b/entry/service.go
@@ -79,6 +79,7 @@
 // cancelled shortly before, which the daemon responds to itself.
 func (s *Service) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	s.server.DisableKeepAlives()
 	s.log.Info("draining; no longer ready")
 	if end, limited := ctx.Deadline(); limited {
 		timer := time.AfterFunc(time.Until(end)-answerMargin, s.cancelRequests)
@@ -104,9 +105,6 @@
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	detach := s.whenStopping(func() {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -148,3 +148,36 @@
 		}
 	}
 }
+
+// TestStopClosesKeptConnection begins a stop while a request is being handled. Its
+// response must tell the caller not to use the connection any more.
+func TestStopClosesKeptConnection(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, newHandlerUpstream(t, func(http.ResponseWriter, *http.Request) { time.Sleep(400 * time.Millisecond) }))
+	closes := make(chan bool, 1)
+	go func() {
+		request, err := http.NewRequest(http.MethodPost, "http://"+h.fleet.Daemons[0].Settings.Listen.Callers.String()+"/bales", nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		request.Host = "souk.example"
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Error(err)
+			closes <- false
+			return
+		}
+		defer response.Body.Close()
+		closes <- response.Close
+	}()
+	time.Sleep(300 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := h.fleet.StopDaemon(ctx, h.fleet.Daemons[0]); err != nil {
+		t.Errorf("stopping failed: %v", err)
+	}
+	if !<-closes {
+		t.Error("the response doesn't close the connection")
+	}
+}
