fakes: a reset of a link is an error at both ends

Link.Reset closed one connection of a pair with a reset; the goroutine that copies from it then closed the other one in the usual way, which is the end of the stream for a daemon. A reset by the target was forwarded in the same way.

A copy that ends with an error now resets the other connection.

--- a/fakes/link.go
+++ b/fakes/link.go
@@ -46,13 +46,18 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for conn := range l.conns {
-		if tcp, isTCP := conn.(*net.TCPConn); isTCP {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		reset(conn)
 	}
 }
 
+// reset closes a connection in such a way that its other end sees an error.
+func reset(conn net.Conn) {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (l *Link) track(conns ...net.Conn) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -125,6 +130,9 @@
 			if errors.Is(err, io.EOF) && dropping {
 				<-ctx.Done()
 			}
+			if !errors.Is(err, io.EOF) {
+				reset(to)
+			}
 			return
 		}
 	}
