soak: sessions, maintenance in series, and a check for lost requests

Sessions are callers that use a connection until the daemon closes it: they rest for about the idle limit, pipeline idempotent requests, send bodies slowly and in chunks. New faults: idle limits that change in series, SIGHUP, restarts in series, requests that outlast a stop, a stop while the store is silent. Each call records when its last byte was sent, on what kind of connection, and whether the daemon ended it; the check compares this with what servers saw and with a history of the faults.

A graceful stop may exit with an error only if it took five sixths of the stop limit while requests that may outlast it were in flight; there were no such requests before. Half of the daemons assume a balancer's lag of 2.5 s, the default, instead of 0.5 s.

--- a/cmds/soakcmd.go
+++ b/cmds/soakcmd.go
@@ -16,13 +16,14 @@
 var errFindings = errors.New("the soak has findings")
 
 type soakCommand struct {
-	program *program
-	Seed    uint64 `long:"seed" default:"1" description:"seed of the fault schedule"`
-	Seeds   int    `long:"seeds" default:"1" description:"number of consecutive seeds to run"`
-	Rounds  int    `long:"rounds" default:"4" description:"rounds of faults per seed"`
-	Daemons int    `long:"daemons" default:"4" description:"number of daemon processes"`
-	Servers int    `long:"servers" default:"4" description:"number of stand-ins for servers"`
-	Callers int    `long:"callers" default:"6" description:"number of callers that send requests continuously"`
+	program  *program
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the fault schedule"`
+	Seeds    int    `long:"seeds" default:"1" description:"number of consecutive seeds to run"`
+	Rounds   int    `long:"rounds" default:"4" description:"rounds of faults per seed"`
+	Daemons  int    `long:"daemons" default:"4" description:"number of daemon processes"`
+	Servers  int    `long:"servers" default:"4" description:"number of stand-ins for servers"`
+	Callers  int    `long:"callers" default:"6" description:"number of callers that send requests continuously"`
+	Sessions int    `long:"sessions" default:"40" description:"number of callers for each daemon that keep their connections open"`
 }
 
 var _ commander = &soakCommand{}
@@ -69,7 +70,7 @@
 		return soak.Report{}, "", err
 	}
 	report, err = soak.Run(ctx, soak.Options{
-		Seed: seed, Rounds: c.Rounds, Daemons: c.Daemons, Servers: c.Servers, Callers: c.Callers,
+		Seed: seed, Rounds: c.Rounds, Daemons: c.Daemons, Servers: c.Servers, Callers: c.Callers, Sessions: c.Sessions,
 		Program: program, Directory: directory,
 	})
 	if err == nil && len(report.Findings) == 0 {
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -57,12 +57,13 @@
 	address netip.AddrPort
 	born    int64
 
-	mutex    sync.Mutex
-	sequence int64
-	running  int
-	runs     map[string]int
-	posts    map[string]int
-	arrivals []Arrival
+	mutex      sync.Mutex
+	sequence   int64
+	running    int
+	runs       map[string]int
+	posts      map[string]int
+	arrivals   []Arrival
+	executions []Execution
 }
 
 // Arrival is a request that reached a server, whether or not it ran.
@@ -71,6 +72,17 @@
 	At time.Time
 }
 
+// Execution is one run of a request. End is zero while the request runs.
+type Execution struct {
+	ID    string
+	Begin time.Time
+	End   time.Time
+}
+
+// WorkParameter is the query parameter that sets how long a request runs, in addition to
+// the fault Work.
+const WorkParameter = "work"
+
 // NewServer returns a server with the given address. The caller listens on the address
 // and serves it.
 func NewServer(id, service, zone string, address netip.AddrPort) *Server {
@@ -128,6 +140,13 @@
 	return slices.Clone(s.arrivals)
 }
 
+// Executions returns all runs of requests, in order of their begin.
+func (s *Server) Executions() []Execution {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.executions)
+}
+
 // UnsafeRuns returns how often each POST request ran, by request ID.
 func (s *Server) UnsafeRuns() map[string]int {
 	s.mutex.Lock()
@@ -162,7 +181,8 @@
 	if err != nil {
 		return
 	}
-	s.run(id, r.Method, faults.Work)
+	requested, _ := time.ParseDuration(r.URL.Query().Get(WorkParameter))
+	s.run(id, r.Method, faults.Work+requested)
 	if !faults.Unsigned {
 		header.Set(platform.HeaderSignature, "signed-"+id)
 	}
@@ -244,8 +264,13 @@
 	if method == http.MethodPost {
 		s.posts[id]++
 	}
+	index := len(s.executions)
+	s.executions = append(s.executions, Execution{ID: id, Begin: time.Now()})
 	s.mutex.Unlock()
 	time.Sleep(work)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.executions[index].End = time.Now()
 }
 
 // addRunning adds delta to the number of running requests and returns the new number.
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -8,8 +8,29 @@
 	"dandeliondoor/fakes"
 )
 
-// apply injects a fault. Faults that last are ended by clearFaults.
+// apply injects a fault and records what it disturbs. Faults that last are ended by
+// clearFaults.
 func (f *fleet) apply(ctx context.Context, fault Fault) error {
+	for _, m := range f.marksOf(fault) {
+		ended := f.history.begin(m, time.Now())
+		if !lasts(fault) {
+			defer func() { ended(time.Now()) }()
+		}
+	}
+	return f.inject(ctx, fault)
+}
+
+// lasts reports whether clearFaults ends a fault.
+func lasts(fault Fault) bool {
+	switch fault.(type) {
+	case CompactStore, Pause, ResetLinks:
+		return false
+	default:
+		return true
+	}
+}
+
+func (f *fleet) inject(ctx context.Context, fault Fault) error {
 	switch fault := fault.(type) {
 	case CompactStore:
 		f.store.Compact(serverTopic)
@@ -22,10 +43,16 @@
 		f.daemons[fault.Daemon].storeLink.Faults.Set(fault.Faults)
 	case DrainServer:
 		return f.startDrain(f.servers[fault.Server])
+	case IdleLimits:
+		return f.publishSeries(ctx, fault)
+	case LongRequests:
+		return f.sendLong(ctx, fault)
 	case Pause:
 		return f.daemons[fault.Daemon].pause(ctx, fault.Period)
 	case Publish:
-		return f.publish()
+		return f.publish(f.idleLimit())
+	case Reload:
+		return f.reload(ctx, f.daemons[fault.Daemon], fault.Signals)
 	case ResetLinks:
 		f.daemons[fault.Daemon].peersLink.Reset()
 		f.daemons[fault.Daemon].storeLink.Reset()
@@ -69,6 +96,7 @@
 			return err
 		}
 	}
+	f.history.endAll(time.Now())
 	return nil
 }
 
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dandeliondoor/platform"
@@ -23,18 +26,34 @@
 	abandonAfter = 15 * time.Millisecond
 	// largeBodyBytes is larger than the part of a request body that a daemon buffers.
 	largeBodyBytes = 600 << 10
+	// deadlineSlack is by how much the deadline of a request exceeds its route's timeout.
+	deadlineSlack = 500 * time.Millisecond
+	decimal       = 10
 )
 
-// call is one request of a caller and its result. status is 0 if there was no complete
-// response. abandoned says that the caller ended the request early on purpose, and
-// planned that it was sent in a round with planned maintenance only.
+// call is one request of a caller and its result. limit is the timeout of its route,
+// lastByteAt when its last byte was sent, or zero if it was not, and endedAt when the
+// response was complete or the connection ended. status is 0 if there was no complete
+// response; cut says that then the daemon ended the connection. kept says that the
+// connection had been used before, behind that an earlier request on it had no response
+// yet, and signed that the response is a server's. abandoned says that the caller ended
+// the request early on purpose, and planned that it was sent in a round with planned
+// maintenance only.
 type call struct {
-	id        string
-	method    string
-	sentAt    time.Time
-	status    int
-	abandoned bool
-	planned   bool
+	id         string
+	method     string
+	daemon     string
+	limit      time.Duration
+	sentAt     time.Time
+	lastByteAt time.Time
+	endedAt    time.Time
+	status     int
+	signed     bool
+	cut        bool
+	kept       bool
+	behind     bool
+	abandoned  bool
+	planned    bool
 }
 
 // generateLoad sends requests to the daemons in turn until the context ends. Some are
@@ -92,14 +111,13 @@
 	// The end of the load must not cut off a request: only its own timeout does.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
-	c.id, c.sentAt = r.newID(), time.Now()
+	c.id, c.daemon, c.limit, c.sentAt = r.newID(), d.name, routeTimeout, time.Now()
 	body := ""
 	if c.method == http.MethodPost {
 		body = "lot=" + c.id + strings.Repeat("=", size)
 	}
 	target := path + "?id=" + c.id
-	status, responseBody, signature := roundTrip(ctx, d, c, target, body)
-	c.status = status
+	responseBody, signature := roundTrip(ctx, d, &c, target, body)
 	r.addCall(c)
 	if c.status == http.StatusOK {
 		r.checkResponse(c.id, signature, responseBody, c.method+" "+target+" "+body)
@@ -107,27 +125,46 @@
 	return c.status
 }
 
-// roundTrip sends one request, which the client does not retry.
-func roundTrip(ctx context.Context, d *daemon, c call, target, body string) (status int, responseBody, signature string) {
+// roundTrip sends one request, which the client does not retry, and records the result in
+// the call.
+func roundTrip(ctx context.Context, d *daemon, c *call, target, body string) (responseBody, signature string) {
+	var lastByteAt atomic.Pointer[time.Time]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { c.kept = info.Reused },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if now := time.Now(); info.Err == nil {
+				lastByteAt.Store(&now)
+			}
+		},
+	})
+	defer func() {
+		c.endedAt = time.Now()
+		c.cut = c.status == 0 && ctx.Err() == nil
+		if at := lastByteAt.Load(); at != nil {
+			c.lastByteAt = *at
+		}
+	}()
 	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+d.callersAddress.String()+target, http.NoBody)
 	if err != nil {
-		return 0, "", ""
+		return "", ""
 	}
 	request.Body = io.NopCloser(strings.NewReader(body))
 	request.ContentLength = int64(len(body))
 	request.Host = host
 	request.Header.Set(proto.HeaderRequestID, c.id)
-	request.Header.Set(proto.HeaderDeadline, "2500")
+	request.Header.Set(proto.HeaderDeadline, strconv.FormatInt((routeTimeout+deadlineSlack).Milliseconds(), decimal))
 	response, err := d.client.Do(request)
 	if err != nil {
-		return 0, "", ""
+		return "", ""
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, "", ""
+		return "", ""
 	}
-	return response.StatusCode, string(data), response.Header.Get(platform.HeaderSignature)
+	signature = response.Header.Get(platform.HeaderSignature)
+	c.status, c.signed = response.StatusCode, signature != ""
+	return string(data), signature
 }
 
 // checkResponse checks that a successful response belongs to the request and is
@@ -141,5 +178,10 @@
 
 // String returns the call as text for the report.
 func (c call) String() string {
-	return fmt.Sprintf("request %s (%s, status %d)", c.id, c.method, c.status)
+	text := fmt.Sprintf("request %s (%s, status %d)", c.id, c.method, c.status)
+	if c.cut {
+		text += fmt.Sprintf(", which %s cut %s after its last byte (kept %t, behind another %t),",
+			c.daemon, c.endedAt.Sub(c.lastByteAt).Round(time.Millisecond), c.kept, c.behind)
+	}
+	return text
 }
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -64,13 +64,16 @@
 			s.ServeHTTP(w, r)
 			return
 		}
-		f.recordCrash(time.Now())
+		now := time.Now()
+		f.recordCrash(now)
+		recovered := f.history.begin(mark{kind: serverDisturbed, name: s.ID()}, now)
 		s.link.Faults.Set(fakes.LinkFaults{Refuse: true})
 		s.link.Reset()
 		restarted := kernel.Run(ctx, func(ctx context.Context) error {
 			sleep(ctx, crashDowntime)
 			s.link.Faults.Set(fakes.LinkFaults{})
 			s.Restart()
+			recovered(time.Now())
 			return s.Register(f.store, false)
 		})
 		f.crashMutex.Lock()
@@ -97,7 +100,7 @@
 	end := time.Now().Add(crashPeriod)
 	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		d := f.daemons[i%len(f.daemons)]
-		roundTrip(ctx, d, call{id: fmt.Sprintf("crash-%d-%d", end.UnixNano(), i), method: http.MethodGet}, "/lots"+fakes.CrashPath, "")
+		roundTrip(ctx, d, &call{id: fmt.Sprintf("crash-%d-%d", end.UnixNano(), i), method: http.MethodGet}, "/lots"+fakes.CrashPath, "")
 		sleep(ctx, crashInterval)
 	}
 	return nil
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -34,6 +34,18 @@
 	}
 	// DrainServer drains a server until the end of the round.
 	DrainServer struct{ Server int }
+	// IdleLimits stores versions of the configuration that differ in the idle limit of
+	// callers' connections.
+	IdleLimits struct {
+		Limits   []time.Duration
+		Interval time.Duration
+	}
+	// LongRequests sends a daemon requests on kept connections whose servers work for a
+	// while, and whose route's timeout exceeds the limit of a stop.
+	LongRequests struct {
+		Daemon int
+		Works  []time.Duration
+	}
 	// Pause stops a daemon's process with SIGSTOP and continues it after the period.
 	Pause struct {
 		Daemon int
@@ -41,6 +53,8 @@
 	}
 	// Publish stores a new version of the configuration.
 	Publish struct{}
+	// Reload changes a daemon's settings file and sends SIGHUP, several times.
+	Reload struct{ Daemon, Signals int }
 	// ResetLinks resets the open connections of a server, of a daemon to the store, and
 	// of other daemons to that daemon.
 	ResetLinks struct{ Daemon, Server int }
@@ -70,8 +84,11 @@
 func (CutDaemon) isFault()     {}
 func (CutStore) isFault()      {}
 func (DrainServer) isFault()   {}
+func (IdleLimits) isFault()    {}
+func (LongRequests) isFault()  {}
 func (Pause) isFault()         {}
 func (Publish) isFault()       {}
+func (Reload) isFault()        {}
 func (ResetLinks) isFault()    {}
 func (Restart) isFault()       {}
 func (SickServer) isFault()    {}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,14 @@
 	stopLimit   = 6 * time.Second
 	// attempts is the maximum number of servers that one request is sent to.
 	attempts = 2
+	// The timeouts of the routes. That of longTimeout exceeds the limit of a stop.
+	routeTimeout = 2 * time.Second
+	longTimeout  = 9 * time.Second
+	// firstIdleLimit is the idle limit of the first configuration.
+	firstIdleLimit = 2 * time.Second
+	// balancerLag and longBalancerLag are the balancer's lag that the daemons assume, in turn.
+	balancerLag     = 500 * time.Millisecond
+	longBalancerLag = 2500 * time.Millisecond
 	// The limits of retries. They are low enough that faults of the servers exhaust them.
 	retryRatio  = 0.2
 	retryWindow = 10 * time.Second
@@ -51,9 +60,16 @@
 	store   *fakes.Store
 	servers []*server
 	daemons []*daemon
+	history history
+	// recorder records the calls of all callers.
+	recorder *recorder
 
 	mutex   sync.Mutex
 	version uint64
+	idle    time.Duration
+
+	// longRequests counts the requests in flight that may outlast a stop.
+	longRequests atomic.Int64
 
 	crashMutex sync.Mutex
 	crashes    crashRecord
@@ -74,6 +90,7 @@
 	name           string
 	callersAddress netip.AddrPort
 	settingsFile   string
+	settings       string
 	storeLink      *fakes.Link
 	peersLink      *fakes.Link
 	client         *http.Client
@@ -88,12 +105,12 @@
 }
 
 func newFleet(ctx context.Context, options Options) (*fleet, error) {
-	f := &fleet{options: options, store: fakes.NewStore()}
+	f := &fleet{options: options, store: fakes.NewStore(), recorder: &recorder{}}
 	storeAddress, err := f.serve(ctx, f.store.Handler())
 	if err != nil {
 		return nil, err
 	}
-	if err := f.publish(); err != nil {
+	if err := f.publish(firstIdleLimit); err != nil {
 		return nil, err
 	}
 	for i := range options.Servers {
@@ -168,15 +185,16 @@
 		return err
 	}
 	d.settingsFile = filepath.Join(f.options.Directory, d.name+".yaml")
-	settings := fmt.Sprintf(`name: %s
+	lag := []time.Duration{balancerLag, longBalancerLag}[i%2]
+	d.settings = fmt.Sprintf(`name: %s
 zone: %s
 listen: {callers: %s, readiness: %s, daemons: %s, operators: %s, advertise: %s}
 store: {address: %s, drain_due: %s}
 retries: {ratio: %v, window: %s, slack: %d}
-stop: {balancer_lag: 500ms, limit: %s}
+stop: {balancer_lag: %s, limit: %s}
 `, d.name, zones[i%len(zones)], ports[0], ports[1], ports[2], ports[3], peersLinkAddress,
-		storeLinkAddress, drainDue, retryRatio, retryWindow, retrySlack, stopLimit)
-	if err := os.WriteFile(d.settingsFile, []byte(settings), 0o600); err != nil {
+		storeLinkAddress, drainDue, retryRatio, retryWindow, retrySlack, lag, stopLimit)
+	if err := os.WriteFile(d.settingsFile, []byte(d.settings), 0o600); err != nil {
 		return errors.Wrap(err, "write settings file")
 	}
 	f.daemons = append(f.daemons, d)
@@ -224,10 +242,21 @@
 func (f *fleet) restart(d *daemon, signal syscall.Signal) error {
 	d.processMutex.Lock()
 	defer d.processMutex.Unlock()
+	kind := daemonDisturbed
+	if signal == syscall.SIGTERM {
+		kind = daemonStopped
+	}
+	signaledAt := time.Now()
+	started := f.history.begin(mark{kind: kind, name: d.name}, signaledAt)
+	defer func() { started(time.Now()) }()
 	if err := d.signal(signal); err != nil {
 		return errors.Wrap(err, "signal daemon")
 	}
 	err := <-d.exited
+	if time.Since(signaledAt) >= lastPart && f.longRequests.Load() > 0 {
+		// The stop limit ended requests that their servers were still running.
+		err = ignoreExitError(err)
+	}
 	if signal != syscall.SIGTERM || killedBy(err, signal) {
 		// SIGTERM kills a process that has just started and has no handler yet. It has
 		// no requests yet, either.
@@ -249,35 +278,47 @@
 	return known && status.Signaled() && status.Signal() == signal
 }
 
-// publish stores the next version of the configuration. It adds a route for this
-// version and removes that of the previous version.
-func (f *fleet) publish() error {
+// publish stores the next version of the configuration with an idle limit. It adds a
+// route for this version and removes that of the previous version.
+func (f *fleet) publish(idle time.Duration) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.version++
+	f.idle = idle
 	target := []topo.Target{{Service: service, Weight: 1}}
-	config := &topo.Config{Version: f.version, Limits: topo.Limits{BodyBytes: 1 << 20}}
+	config := &topo.Config{Version: f.version, Limits: topo.Limits{BodyBytes: 1 << 20, IdleTimeout: idle}}
 	for _, route := range []struct {
 		name       string
 		idempotent bool
+		timeout    time.Duration
 	}{
-		{name: "bales"},
-		{name: "lots", idempotent: true},
-		{name: versionRoute(f.version), idempotent: true},
+		{name: "bales", timeout: routeTimeout},
+		{name: "longs", timeout: longTimeout},
+		{name: "lots", idempotent: true, timeout: routeTimeout},
+		{name: versionRoute(f.version), idempotent: true, timeout: routeTimeout},
 	} {
 		config.Routes = append(config.Routes, topo.Route{
 			Name: route.name, Host: host, Prefix: "/" + route.name + "/", Idempotent: route.idempotent,
-			Timeout: 2 * time.Second, Objective: time.Second, Attempts: attempts, Targets: target,
+			Timeout: route.timeout, Objective: time.Second, Attempts: attempts, Targets: target,
 		})
 	}
 	data, err := platform.EncodeConfig(config)
 	if err != nil {
 		return err
 	}
+	published := f.history.begin(mark{kind: configPublished}, time.Now())
 	f.store.Put(platform.OperatorTopic, platform.ConfigKey, data)
+	published(time.Now())
 	return nil
 }
 
+// idleLimit returns the idle limit of the newest configuration.
+func (f *fleet) idleLimit() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.idle
+}
+
 // newestVersion returns the version of the configuration that was stored last.
 func (f *fleet) newestVersion() uint64 {
 	f.mutex.Lock()
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -128,8 +128,8 @@
 	return max(inside, before)
 }
 
-// report returns the findings and the numbers of served and unserved calls.
-func (r *recorder) report() Report {
+// report returns the findings and the numbers of calls by result.
+func (r *recorder) report(passes map[string][]pass) Report {
 	report := Report{Findings: r.findings}
 	for _, c := range r.calls {
 		if c.status == http.StatusOK {
@@ -137,6 +137,12 @@
 			continue
 		}
 		report.Unserved++
+		if c.cut && !c.lastByteAt.IsZero() {
+			report.Cut++
+			if len(passes[c.id]) > 0 {
+				report.CutPassed++
+			}
+		}
 	}
 	return report
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,11 +18,13 @@
 // Program is the daemon's executable, and Directory holds the settings and logs of
 // the daemons.
 type Options struct {
-	Seed      uint64
-	Rounds    int
-	Daemons   int
-	Servers   int
-	Callers   int
+	Seed    uint64
+	Rounds  int
+	Daemons int
+	Servers int
+	Callers int
+	// Sessions is the number of callers for each daemon that keep their connection open.
+	Sessions  int
 	Program   string
 	Directory string
 }
@@ -41,16 +43,20 @@
 	drainSlack = 3 * time.Second
 )
 
-// Report is the result of a soak.
+// Report is the result of a soak. Cut counts the requests of which the daemon ended the
+// connection without a response, and CutPassed those among them that reached a server.
 type Report struct {
-	Served   int
-	Unserved int
-	Findings []string
+	Served    int
+	Unserved  int
+	Cut       int
+	CutPassed int
+	Findings  []string
 }
 
 // String returns the counts and the findings, one per line.
 func (r Report) String() string {
-	text := fmt.Sprintf("served %d, not served %d, findings %d", r.Served, r.Unserved, len(r.Findings))
+	text := fmt.Sprintf("served %d, not served %d, cut %d (passed on %d), findings %d",
+		r.Served, r.Unserved, r.Cut, r.CutPassed, len(r.Findings))
 	return strings.Join(append([]string{text}, r.Findings...), "\n")
 }
 
@@ -62,15 +68,18 @@
 	if err != nil {
 		return Report{}, err
 	}
-	r := &recorder{}
+	r := f.recorder
 	err = f.runRounds(ctx, r)
+	passes := passesByID(f.servers)
+	r.verifyLosses(&f.history, passes)
 	r.verify(f.servers)
-	return r.report(), errors.Join(err, f.shutdown(cancel))
+	return r.report(passes), errors.Join(err, f.shutdown(cancel))
 }
 
 func (f *fleet) runRounds(ctx context.Context, r *recorder) error {
 	random := rand.New(rand.NewPCG(f.options.Seed, f.options.Seed))
 	endless := rand.New(rand.NewPCG(f.options.Seed, endlessStream))
+	maintenance := rand.New(rand.NewPCG(f.options.Seed, maintenanceStream))
 	wishes := rand.New(rand.NewPCG(f.options.Seed, wishStream))
 	f.waitForRecovery(ctx, r, "start")
 	f.setDisturbed(false)
@@ -80,6 +89,9 @@
 			events = append(events, randomEndless(endless, len(f.servers))...)
 			events = append(events, randomWishes(wishes, len(f.servers))...)
 		}
+		if planned || maintenance.IntN(2) == 0 {
+			events = append(events, randomMaintenance(maintenance, len(f.daemons))...)
+		}
 		name := fmt.Sprintf("seed %d, round %d, %s", f.options.Seed, round, describe(events))
 		if err := f.runRound(ctx, r, events, planned, name); err != nil {
 			return errors.Wrap(err, name)
@@ -99,6 +111,13 @@
 	for i := range f.options.Callers {
 		results = append(results, kernel.Run(loadCtx, func(ctx context.Context) error { return f.generateLoad(ctx, r, i, planned) }))
 	}
+	for i, d := range f.daemons {
+		for j := range f.options.Sessions {
+			random := rand.New(rand.NewPCG(f.options.Seed, sessionStream+uint64(i*f.options.Sessions+j)))
+			s := &session{fleet: f, recorder: r, daemon: d, random: random, planned: planned}
+			results = append(results, kernel.Run(loadCtx, s.run))
+		}
+	}
 	disturbed := slices.ContainsFunc(events, disturbs)
 	if disturbed {
 		f.setDisturbed(true)
