soak: a response of a disturbed server may be cut although a sound one ran a copy

It had been sent to i-2, which sent a body without end, and hedged to the sound i-1. The daemon passed on the response of i-2 and cut it at the route's timeout, as it must: an incomplete response may not look complete. The check now takes such a request for one of the disturbed server, but only if the head of a response had come; without one it counts as before.

--- a/soak/loss.go
+++ b/soak/loss.go
@@ -68,15 +68,20 @@
 	}
 }
 
-// ranAtSoundServer reports whether a server without disturbances ran the request.
+// ranAtSoundServer reports whether a server without disturbances ran the request. A
+// response that had begun may be that of a disturbed server if one got the request, too.
 func ranAtSoundServer(h *history, c call, passed []pass) bool {
+	ran := false
 	for _, p := range passed {
 		disturbances := h.overlapping(mark{kind: serverDisturbed, name: p.server}, p.arrivedAt.Add(-2*contactTime), c.endedAt)
-		if !p.execution.Begin.IsZero() && len(disturbances) == 0 {
-			return true
+		switch {
+		case len(disturbances) == 0:
+			ran = ran || !p.execution.Begin.IsZero()
+		case c.begun:
+			return false
 		}
 	}
-	return false
+	return ran
 }
 
 // inTouch reports whether neither the store nor the call's daemon were disturbed or
--- a/soak/session.go
+++ b/soak/session.go
@@ -227,6 +227,7 @@
 	var body []byte
 	if err == nil {
 		defer response.Body.Close()
+		m.call.begun = true
 		body, err = io.ReadAll(response.Body)
 	}
 	m.call.endedAt = time.Now()
