soak: bodies of long requests that end late in a stop

A request whose body is complete only when a stop is half over may still be passed on. Without sessions the soak leaves out the maintenance in series, so that the older cases of TestSeeds have the faults that they had.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -41,10 +41,12 @@
 		Interval time.Duration
 	}
 	// LongRequests sends a daemon requests on kept connections whose servers work for a
-	// while, and whose route's timeout exceeds the limit of a stop.
+	// while, and whose route's timeout exceeds the limit of a stop. Pause is the time
+	// between two parts of the body.
 	LongRequests struct {
 		Daemon int
 		Works  []time.Duration
+		Pause  time.Duration
 	}
 	// Pause stops a daemon's process with SIGSTOP and continues it after the period.
 	Pause struct {
--- a/soak/maintenance.go
+++ b/soak/maintenance.go
@@ -62,7 +62,8 @@
 		for i := range works {
 			works[i] = minLongWork + time.Duration(random.Int64N(int64(maxLongWork-minLongWork)))
 		}
-		return []event{{fault: LongRequests{Daemon: d, Works: works}, delay: begin}, stop}
+		pause := randomStep(random) * time.Duration(random.IntN(2))
+		return []event{{fault: LongRequests{Daemon: d, Works: works, Pause: pause}, delay: begin}, stop}
 	default:
 		return []event{{fault: SickStore{Faults: fakes.StoreFaults{Silent: true}}, delay: begin}, stop}
 	}
@@ -145,7 +146,9 @@
 			}
 			s.exchange(s.newMessage(http.MethodGet, "/lots/a", routeTimeout))
 			if s.connect(ctx) {
-				s.exchange(s.newMessage(http.MethodPost, fmt.Sprintf("/longs/a?%s=%s", fakes.WorkParameter, work), longTimeout))
+				m := s.newMessage(http.MethodPost, fmt.Sprintf("/longs/a?%s=%s", fakes.WorkParameter, work), longTimeout)
+				m.split(fault.Pause)
+				s.exchange(m)
 			}
 			return nil
 		})
--- a/soak/session.go
+++ b/soak/session.go
@@ -110,12 +110,13 @@
 	}
 }
 
-// message is the text of a request, in parts that are sent one after the other.
+// message is the text of a request, in parts that are sent with a pause between them.
 type message struct {
 	call   call
 	target string
 	body   string
 	parts  []string
+	pause  time.Duration
 }
 
 // sendNext sends the next request or requests and reads the responses.
@@ -129,11 +130,11 @@
 		s.exchange(messages...)
 	case 1:
 		m := s.newMessage(http.MethodPost, "/bales/a", routeTimeout)
-		m.split()
+		m.split(s.randomPause())
 		s.exchange(m)
 	case 2:
 		m := s.newMessage(http.MethodPost, "/bales/a", routeTimeout)
-		m.chunk()
+		m.chunk(s.randomPause())
 		s.exchange(m)
 	case 3:
 		s.exchange(s.newMessage(http.MethodPost, "/bales/a", routeTimeout))
@@ -142,6 +143,10 @@
 	}
 }
 
+func (s *session) randomPause() time.Duration {
+	return time.Duration(s.random.Int64N(int64(maxPartPause)))
+}
+
 // newMessage returns a request whose time limit is that of its route.
 func (s *session) newMessage(method, path string, limit time.Duration) *message {
 	m := &message{call: call{
@@ -166,12 +171,14 @@
 }
 
 // split sends the parts of the body one after the other.
-func (m *message) split() {
+func (m *message) split(pause time.Duration) {
+	m.pause = pause
 	m.parts = append([]string{m.head(fmt.Sprintf("Content-Length: %d\r\n", len(m.body)))}, m.bodyParts()...)
 }
 
 // chunk sends the parts of the body one after the other, each as a chunk.
-func (m *message) chunk() {
+func (m *message) chunk(pause time.Duration) {
+	m.pause = pause
 	m.parts = []string{m.head("Transfer-Encoding: chunked\r\n")}
 	for _, part := range m.bodyParts() {
 		m.parts = append(m.parts, fmt.Sprintf("%x\r\n%s\r\n", len(part), part))
@@ -194,7 +201,7 @@
 	kept, open := s.answered > 0, true
 	for i, m := range messages {
 		m.call.kept, m.call.behind, m.call.sentAt = kept, i > 0, time.Now()
-		m.call.lastByteAt = s.write(m.parts)
+		m.call.lastByteAt = s.write(m)
 	}
 	for _, m := range messages {
 		open = s.receive(m) && open
@@ -207,10 +214,10 @@
 
 // write sends the parts of a request and returns when the last byte was sent, or zero if
 // the connection ended before.
-func (s *session) write(parts []string) time.Time {
-	for i, part := range parts {
+func (s *session) write(m *message) time.Time {
+	for i, part := range m.parts {
 		if i > 0 {
-			time.Sleep(time.Duration(s.random.Int64N(int64(maxPartPause))))
+			time.Sleep(m.pause)
 		}
 		if _, err := io.WriteString(s.conn, part); err != nil {
 			return time.Time{}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -24,6 +24,7 @@
 	Servers int
 	Callers int
 	// Sessions is the number of callers for each daemon that keep their connection open.
+	// Without any there is no maintenance in series, either.
 	Sessions  int
 	Program   string
 	Directory string
@@ -89,7 +90,7 @@
 			events = append(events, randomEndless(endless, len(f.servers))...)
 			events = append(events, randomWishes(wishes, len(f.servers))...)
 		}
-		if planned || maintenance.IntN(2) == 0 {
+		if f.options.Sessions > 0 && (planned || maintenance.IntN(2) == 0) {
 			events = append(events, randomMaintenance(maintenance, len(f.daemons))...)
 		}
 		name := fmt.Sprintf("seed %d, round %d, %s", f.options.Seed, round, describe(events))
