soak: long requests of a round excuse the exit status of a stop; report stalls

Its caller had returned before the exit status was looked at. The round in which a daemon got long requests now counts, for that daemon only.

The report names the longest time for which the soak's process, which runs the store and the servers, did not run. Nothing is excused by it.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -68,9 +68,6 @@
 	version uint64
 	idle    time.Duration
 
-	// longRequests counts the requests in flight that may outlast a stop.
-	longRequests atomic.Int64
-
 	crashMutex sync.Mutex
 	crashes    crashRecord
 }
@@ -95,6 +92,9 @@
 	peersLink      *fakes.Link
 	client         *http.Client
 
+	// longRequests is set if the daemon got requests in this round that may outlast a stop.
+	longRequests atomic.Bool
+
 	// processMutex is held while the process is paused or restarted.
 	processMutex sync.Mutex
 
@@ -253,7 +253,7 @@
 		return errors.Wrap(err, "signal daemon")
 	}
 	err := <-d.exited
-	if time.Since(signaledAt) >= lastPart && f.longRequests.Load() > 0 {
+	if time.Since(signaledAt) >= lastPart && d.longRequests.Load() {
 		// The stop limit ended requests that their servers were still running.
 		err = ignoreExitError(err)
 	}
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	mutex    sync.Mutex
 	lastID   int
 	calls    []call
+	stall    time.Duration
 	findings []string
 }
 
@@ -38,6 +40,18 @@
 	r.findings = append(r.findings, fmt.Sprintf(format, arguments...))
 }
 
+// measureStalls records the longest stall of this process until the context ends.
+func (r *recorder) measureStalls(ctx context.Context) error {
+	const interval = 20 * time.Millisecond
+	for last := time.Now(); ctx.Err() == nil; {
+		sleep(ctx, interval)
+		now := time.Now()
+		r.stall = max(r.stall, now.Sub(last)-interval)
+		last = now
+	}
+	return nil
+}
+
 // verify compares the results of the calls with the runs that the servers recorded.
 func (r *recorder) verify(servers []*server) {
 	runs, unsafeRuns := make(map[string]int), make(map[string]int)
@@ -130,7 +144,7 @@
 
 // report returns the findings and the numbers of calls by result.
 func (r *recorder) report(passes map[string][]pass) Report {
-	report := Report{Findings: r.findings}
+	report := Report{Findings: r.findings, Stall: r.stall}
 	for _, c := range r.calls {
 		if c.status == http.StatusOK {
 			report.Served++
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,18 +46,20 @@
 
 // Report is the result of a soak. Cut counts the requests of which the daemon ended the
 // connection without a response, and CutPassed those among them that reached a server.
+// Stall is the longest time for which the soak's own process did not run.
 type Report struct {
 	Served    int
 	Unserved  int
 	Cut       int
 	CutPassed int
+	Stall     time.Duration
 	Findings  []string
 }
 
 // String returns the counts and the findings, one per line.
 func (r Report) String() string {
-	text := fmt.Sprintf("served %d, not served %d, cut %d (passed on %d), findings %d",
-		r.Served, r.Unserved, r.Cut, r.CutPassed, len(r.Findings))
+	text := fmt.Sprintf("served %d, not served %d, cut %d (passed on %d), longest stall %s, findings %d",
+		r.Served, r.Unserved, r.Cut, r.CutPassed, r.Stall.Round(time.Millisecond), len(r.Findings))
 	return strings.Join(append([]string{text}, r.Findings...), "\n")
 }
 
@@ -70,11 +72,13 @@
 		return Report{}, err
 	}
 	r := f.recorder
+	stalled := kernel.Run(ctx, r.measureStalls)
 	err = f.runRounds(ctx, r)
 	passes := passesByID(f.servers)
 	r.verifyLosses(&f.history, passes)
 	r.verify(f.servers)
-	return r.report(passes), errors.Join(err, f.shutdown(cancel))
+	err = errors.Join(err, f.shutdown(cancel), <-stalled)
+	return r.report(passes), err
 }
 
 func (f *fleet) runRounds(ctx context.Context, r *recorder) error {
