--- a/front/handler.go
+++ b/front/handler.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,6 +34,11 @@
 	metrics *metrics
 	log     *logrus.Entry
 
+	stop          atomic.Pointer[Stop]
+	interrupts    interrupts
+	answeredAtEnd atomic.Int64
+	abortedAtEnd  atomic.Int64
+
 	mutex        sync.Mutex
 	reachability *choose.PathTracker
 	holds        *choose.Holds
@@ -59,24 +67,71 @@
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := h.newExchange(r)
+	defer h.recoverPanic(w, e)
+	if h.currentStop().Refuses(e.arrived) {
+		h.respondLocally(w, e, stoppingResponse)
+		return
+	}
 	if local, rejected := h.prepare(r.Context(), w, e); rejected {
 		h.respondLocally(w, e, local)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
+	ctx, interrupt := context.WithCancelCause(r.Context())
+	defer interrupt(nil)
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
+	remove := h.interrupts.add(func() { interrupt(errStopping) })
+	defer remove()
 	response, local := h.run(ctx, e)
 	switch {
 	case response != nil:
-		h.forward(w, e, response)
+		h.forward(ctx, w, e, response)
 	case errors.Is(r.Context().Err(), context.Canceled):
-		h.logAborted(e, context.Cause(r.Context()).Error())
+		h.logAborted(e, context.Cause(r.Context()))
 		panic(http.ErrAbortHandler)
 	default:
+		if errors.Is(context.Cause(ctx), errStopping) {
+			h.answeredAtEnd.Add(1)
+		}
 		h.respondLocally(w, e, local)
 	}
 }
 
+// recoverPanic responds to a request whose handling has panicked, since net/http would
+// close the connection without a response.
+func (h *Handler) recoverPanic(w http.ResponseWriter, e *exchange) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, isErr := cause.(error); isErr && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	h.metrics.panics.Inc()
+	h.log.WithField("request_id", e.id).WithField("panic", fmt.Sprint(cause)).
+		WithField("stack", string(debug.Stack())).Error("handling a request panicked")
+	if e.responded {
+		h.abort(w, e)
+		return
+	}
+	// The header may hold that of a server's response.
+	clear(w.Header())
+	w.Header().Set("Connection", "close")
+	local := localResponse{status: http.StatusInternalServerError, reason: reasonInternal}
+	if e.history.sends > 0 {
+		local.status = http.StatusBadGateway
+	}
+	h.respondLocally(w, e, local)
+}
+
+// currentStop returns the schedule of the planned stop.
+func (h *Handler) currentStop() Stop {
+	if stop := h.stop.Load(); stop != nil {
+		return *stop
+	}
+	return Stop{}
+}
+
 func (h *Handler) newExchange(r *http.Request) *exchange {
 	return &exchange{id: h.dialect.RequestID(r.Header), request: r, arrived: time.Now(), history: &History{}}
 }
@@ -113,7 +168,7 @@
 		remaining = e.route.Timeout
 	}
 	e.deadline = e.arrived.Add(remaining)
-	return h.readBody(e, limits.BodyBytes)
+	return h.readBody(w, e, limits.BodyBytes)
 }
 
 // headSize estimates the size of the request line and header fields in bytes.
@@ -178,15 +233,22 @@
 
 // readBody reads the body of a request with a route and sets the remaining fields
 // that sending it needs: body, fingerprint, service, header and history.
-func (h *Handler) readBody(e *exchange, limit int64) (localResponse, bool) {
+func (h *Handler) readBody(w http.ResponseWriter, e *exchange, limit int64) (localResponse, bool) {
 	var err error
+	remove := h.interrupts.add(func() { h.interruptBody(w, e) })
 	e.body, err = readBody(e.request, limit)
 	switch {
+	case !remove():
+		h.answeredAtEnd.Add(1)
+		return stoppingResponse, true
 	case errors.Is(err, errTooLarge):
 		return localResponse{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}, true
 	case err != nil:
 		return localResponse{status: http.StatusBadRequest, reason: reasonBodyBroken}, true
 	}
+	if e.body.resendable() {
+		e.received = time.Now()
+	}
 	e.identity = e.body.identity(e.request, h.dialect.Account(e.request.Header))
 	e.service = e.route.Pick(rand.Float64())
 	e.header = httpd.EndToEndHeaders(e.request.Header)
@@ -195,10 +257,17 @@
 	return localResponse{}, false
 }
 
+// interruptBody makes reading the body of a request fail.
+func (h *Handler) interruptBody(w http.ResponseWriter, e *exchange) {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now()); err != nil {
+		h.log.WithField("request_id", e.id).WithError(err).Debug("interrupting the request body failed")
+	}
+}
+
 // forward writes a server's response to the caller. If the server's body is cut
 // short, the caller's connection is aborted, so that the response never looks
 // complete.
-func (h *Handler) forward(w http.ResponseWriter, e *exchange, resp *serverResponse) {
+func (h *Handler) forward(ctx context.Context, w http.ResponseWriter, e *exchange, resp *serverResponse) {
 	header := w.Header()
 	for name, values := range httpd.EndToEndHeaders(resp.header) {
 		header[name] = values
@@ -207,9 +276,15 @@
 		// A nil value keeps net/http from adding a Content-Type of its own.
 		header["Content-Type"] = nil
 	}
-	err := h.write(w, resp)
+	err := h.write(w, e, resp)
 	if err != nil {
-		h.logAborted(e, "response aborted: "+err.Error())
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		if errors.Is(err, errStopping) {
+			h.abortedAtEnd.Add(1)
+		}
+		h.logAborted(e, errors.Wrap(err, "response aborted"))
 		h.abort(w, e)
 		return
 	}
@@ -231,10 +306,11 @@
 	}
 }
 
-func (h *Handler) write(w http.ResponseWriter, resp *serverResponse) error {
+func (h *Handler) write(w http.ResponseWriter, e *exchange, resp *serverResponse) error {
 	if resp.rest == nil {
 		w.Header().Set("Content-Length", contentLength(resp))
 		w.WriteHeader(resp.status)
+		e.responded = true
 		_, err := w.Write(resp.buffered)
 		return ignoreNoBody(err)
 	}
@@ -242,6 +318,7 @@
 		w.Header().Set("Content-Length", contentLength(resp))
 	}
 	w.WriteHeader(resp.status)
+	e.responded = true
 	_, err := w.Write(resp.buffered)
 	if err == nil {
 		_, err = io.Copy(w, resp.rest)
@@ -259,13 +336,16 @@
 	h.logEntry(e).WithField("status", local.status).WithField("reason", local.reason).
 		WithField("refused", e.lastRefusal.Reason).WithField("fingerprint", e.identity.Caller.String()).
 		WithField("content", e.identity.Content.String()).Info("request answered without a server")
+	e.responded = true
 	if err := local.write(w, e.id); err != nil {
 		h.log.WithField("request_id", e.id).WithError(err).Debug("writing the response to the caller failed")
 	}
 }
 
-func (h *Handler) logAborted(e *exchange, cause string) {
-	h.logEntry(e).WithField("end", cause).Info("request ended")
+func (h *Handler) logAborted(e *exchange, err error) {
+	cause := endCauseOf(err)
+	h.metrics.ended.WithLabelValues(string(cause)).Inc()
+	h.logEntry(e).WithField("cause", cause).WithField("end", err.Error()).Info("request ended")
 }
 
 func (h *Handler) logEntry(e *exchange) *logrus.Entry {
