--- a/httpd/server.go
+++ b/httpd/server.go
@@ -84,14 +84,18 @@
 // responses if keep-alives are disabled.
 func (s *Server) track(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn := connOf(r.Context()); conn != nil {
+		conn := connOf(r.Context())
+		if conn != nil {
 			conn.beginRequest()
 		}
-		tracked := &responseWriter{ResponseWriter: w, closing: &s.closing}
+		tracked := &responseWriter{ResponseWriter: w, conn: conn, closing: &s.closing}
 		handler.ServeHTTP(tracked, r)
 		if !tracked.wroteHeader {
 			tracked.setConnection()
 		}
+		if conn != nil {
+			conn.endRequest(tracked.closesConnection(r))
+		}
 	})
 }
 
@@ -146,8 +150,8 @@
 	return nil
 }
 
-// DisableKeepAlives makes the server close each connection after its next response. Those
-// that wait for a request stay open.
+// DisableKeepAlives makes the server close each connection after the response to the last
+// request that has been read from it. Those that wait for a request stay open.
 func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
 
 // CloseExpired closes the connections that have waited for a request longer than the
