--- a/front/local_response.go
+++ b/front/local_response.go
@@ -20,6 +20,7 @@
 	reasonCrashes      reason = "crashes_servers"
 	reasonDeadline     reason = "deadline"
 	reasonHeadTooLarge reason = "request_head_too_large"
+	reasonInternal     reason = "internal_fault"
 	reasonStopping     reason = "daemon_is_stopping"
 	reasonNoAnswer     reason = "no_answer"
 	reasonNoID         reason = "no_request_id"
@@ -36,6 +37,10 @@
 	retryAfter time.Duration
 }
 
+// stoppingResponse is the response to a request that is not sent to a server because
+// the daemon stops.
+var stoppingResponse = localResponse{status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: minRetryAfter}
+
 // outcome returns whether the request may have run, as stated to the caller.
 func (l localResponse) outcome() proto.Outcome {
 	if l.status == http.StatusBadGateway || l.status == http.StatusGatewayTimeout {
