httpd, front: answer requests whose body has not come whole

What callers saw: no response to a request of which a part of the body was missing: net/http reads up to 256 KB of it before it writes the head of a response. Evidence, before: TestResponseBeforeRestOfBody, 'no response: i/o timeout' after 3 s; TestFrontSlowBody, no answer after 10 s on a route of 1 s, for all four bodies.

httpd knows whether the body has been read from the network, and adds Connection: close to a response that comes before; that takes the place of what front did for bodies that it passes on. A body that is not complete at the deadline gets 408, the status for it, instead of 503: both say that the request has not run. The case of TestFrontStalledUpload follows; it and TestFrontSlowBody expected different statuses.

--- a/front/body.go
+++ b/front/body.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -27,7 +26,6 @@
 type body struct {
 	buffered []byte
 	prefix   []byte
-	incoming *incomingBody
 	stream   io.Reader
 	length   int64
 }
@@ -40,13 +38,12 @@
 	if limit > 0 && r.ContentLength > limit {
 		return nil, errTooLarge
 	}
-	incoming := &incomingBody{ReadCloser: r.Body}
-	source := io.Reader(incoming)
+	source := io.Reader(r.Body)
 	if limit > 0 {
-		source = http.MaxBytesReader(nil, incoming, limit)
+		source = http.MaxBytesReader(nil, r.Body, limit)
 	}
 	if r.ContentLength > maxBuffered {
-		return &body{stream: source, incoming: incoming, length: r.ContentLength}, nil
+		return &body{stream: source, length: r.ContentLength}, nil
 	}
 	buffered, err := io.ReadAll(io.LimitReader(source, maxBuffered+1))
 	var large *http.MaxBytesError
@@ -57,30 +54,11 @@
 		return nil, err
 	}
 	if len(buffered) > maxBuffered {
-		return &body{prefix: buffered, stream: io.MultiReader(bytes.NewReader(buffered), source), incoming: incoming, length: -1}, nil
+		return &body{prefix: buffered, stream: io.MultiReader(bytes.NewReader(buffered), source), length: -1}, nil
 	}
 	return &body{buffered: buffered, length: int64(len(buffered))}, nil
 }
 
-// incomingBody is the body of a request as it is received.
-type incomingBody struct {
-	io.ReadCloser
-
-	ended atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *incomingBody) Read(data []byte) (int, error) {
-	count, err := b.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
-		b.ended.Store(true)
-	}
-	return count, err
-}
-
-// complete reports whether the whole body has been received.
-func (b *body) complete() bool { return b.resendable() || b.incoming.ended.Load() }
-
 // resendable reports whether the body can be sent more than once.
 func (b *body) resendable() bool { return b.stream == nil }
 
--- a/front/handler.go
+++ b/front/handler.go
@@ -247,7 +247,7 @@
 		h.answeredAtEnd.Add(1)
 		return stoppingResponse, true
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return localResponse{status: http.StatusServiceUnavailable, reason: reasonDeadline}, true
+		return localResponse{status: http.StatusRequestTimeout, reason: reasonDeadline}, true
 	case errors.Is(err, errTooLarge):
 		return localResponse{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}, true
 	case err != nil:
@@ -274,14 +274,6 @@
 	}
 }
 
-// closeBehindBody announces that the connection ends if a body that is passed on has not
-// been received whole. Otherwise net/http would first wait for more of it.
-func closeBehindBody(w http.ResponseWriter, e *exchange) {
-	if e.body != nil && !e.body.complete() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 // forward writes a server's response to the caller. If the server's body is cut
 // short, the caller's connection is aborted, so that the response never looks
 // complete.
@@ -294,7 +286,6 @@
 		// A nil value keeps net/http from adding a Content-Type of its own.
 		header["Content-Type"] = nil
 	}
-	closeBehindBody(w, e)
 	err := h.write(w, e, resp)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -355,7 +346,6 @@
 	h.logEntry(e).WithField("status", local.status).WithField("reason", local.reason).
 		WithField("refused", e.lastRefusal.Reason).WithField("fingerprint", e.identity.Caller.String()).
 		WithField("content", e.identity.Content.String()).Info("request answered without a server")
-	closeBehindBody(w, e)
 	e.responded = true
 	if err := local.write(w, e.id); err != nil {
 		h.log.WithField("request_id", e.id).WithError(err).Debug("writing the response to the caller failed")
--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -264,6 +264,14 @@
 	c.closing = closes
 }
 
+// bodyIncomplete reports whether the body of the request that is being handled has not
+// been read to its end, or has no known end since it is chunked.
+func (c *callerConn) bodyIncomplete() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.parser.heads == c.handled && (c.parser.stopped || c.parser.bodyRemaining > int64(len(c.unread)))
+}
+
 // isLingering reports whether the last response has been sent, and the connection only
 // waits for the caller to close it.
 func (c *callerConn) isLingering() bool {
--- a/httpd/response_writer.go
+++ b/httpd/response_writer.go
@@ -6,7 +6,8 @@
 )
 
 // responseWriter adds Connection: close to each response whose head is written once
-// closing is set, unless the next request has been read already.
+// closing is set, unless the next request has been read already, and to each whose
+// request has not been read to its end: net/http would hold it back until then.
 type responseWriter struct {
 	http.ResponseWriter
 
@@ -44,7 +45,10 @@
 }
 
 func (w *responseWriter) setConnection() {
-	if w.closing.Load() && (w.conn == nil || !w.conn.hasNext()) {
+	if w.conn == nil {
+		return
+	}
+	if w.conn.bodyIncomplete() || (w.closing.Load() && !w.conn.hasNext()) {
 		w.Header().Set("Connection", "close")
 	}
 }
