--- a/soak/apply.go
+++ b/soak/apply.go
@@ -77,7 +77,6 @@
 func (f *fleet) clearFaults() error {
 	f.store.Faults.Set(fakes.StoreFaults{})
 	for _, d := range f.daemons {
-		d.longRequests.Store(false)
 		clearLinkFaults(d.storeLink)
 		clearLinkFaults(d.peersLink)
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,9 +91,6 @@
 	peersLink      *fakes.Link
 	client         *http.Client
 
-	// longRequests is set if the daemon got requests in this round that may outlast a stop.
-	longRequests atomic.Bool
-
 	// processMutex is held while the process is paused or restarted.
 	processMutex sync.Mutex
 
@@ -246,17 +242,12 @@
 	if signal == syscall.SIGTERM {
 		kind = daemonStopped
 	}
-	signaledAt := time.Now()
-	started := f.history.begin(mark{kind: kind, name: d.name}, signaledAt)
+	started := f.history.begin(mark{kind: kind, name: d.name}, time.Now())
 	defer func() { started(time.Now()) }()
 	if err := d.signal(signal); err != nil {
 		return errors.Wrap(err, "signal daemon")
 	}
 	err := <-d.exited
-	if time.Since(signaledAt) >= lastPart && d.longRequests.Load() {
-		// The stop limit ended requests that their servers were still running.
-		err = ignoreExitError(err)
-	}
 	if signal != syscall.SIGTERM || killedBy(err, signal) {
 		// SIGTERM kills a process that has just started and has no handler yet. It has
 		// no requests yet, either.
--- a/soak/maintenance.go
+++ b/soak/maintenance.go
@@ -134,7 +134,6 @@
 
 // sendLong sends long requests, each on a connection that has been used before.
 func (f *fleet) sendLong(ctx context.Context, fault LongRequests) error {
-	f.daemons[fault.Daemon].longRequests.Store(true)
 	results := make([]<-chan error, len(fault.Works))
 	for i, work := range fault.Works {
 		s := &session{fleet: f, recorder: f.recorder, daemon: f.daemons[fault.Daemon]}
