httpd: no response to a head that exceeds its time limit

What callers saw: 400, which they don't repeat, for a request whose head came too slowly, instead of the end of the connection. Cause: when a read fails, bufio passes on the part of a line that it has, and net/http takes it for a malformed request line; its response wins against the close if the process is starved.

A connection that is being closed now sends nothing more. A response is never on its way then, since such a connection has answered all requests.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -171,6 +171,18 @@
 	}
 }
 
+// Write implements net.Conn. It sends nothing once the connection is being closed: net/http
+// would respond 400 to a head that breaks off because of that.
+func (c *callerConn) Write(data []byte) (int, error) {
+	c.mutex.Lock()
+	closed := c.closeCause != nil
+	c.mutex.Unlock()
+	if closed {
+		return 0, errClosed
+	}
+	return c.Conn.Write(data)
+}
+
 func (c *callerConn) deadlineExceeded(now time.Time) bool {
 	return !c.deadline.IsZero() && !now.Before(c.deadline)
 }
--- a/httpd/idle_test.go
+++ b/httpd/idle_test.go
@@ -284,3 +284,37 @@
 		_ = conn.SetReadDeadline(time.Time{})
 	}
 }
+
+// TestLateHead lets the head of a request exceed its time limit. It guards against a
+// response that net/http sends to the incomplete head before the connection is closed,
+// since callers don't repeat a request that was answered 400.
+func TestLateHead(t *testing.T) {
+	t.Parallel()
+	listener := &slowCloseListener{closing: make(chan struct{}, 1), proceed: make(chan struct{})}
+	server, address := startServerOn(t, listener, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HT"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // The server has read the part of the head by now.
+	ctx, cancel := context.WithCancel(context.Background())
+	swept := kernel.Run(ctx, func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			server.CloseExpired(time.Now().Add(time.Hour), httpd.Limits{HeaderTimeout: time.Minute})
+			time.Sleep(time.Millisecond)
+		}
+		return nil
+	})
+	<-listener.closing
+	_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	if data, _ := io.ReadAll(conn); len(data) > 0 {
+		t.Errorf("got the response %q", data)
+	}
+	close(listener.proceed)
+	cancel()
+	<-swept
+}
