httpd: TestSweepDuringRead pauses the reads that are used now

Its pause was in Read, which is not called since reads go through SyscallConn. With the record taken out of the read, both cases fail again: 'a request that had been read got no response: unexpected EOF'.

--- a/httpd/read_close_test.go
+++ b/httpd/read_close_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +49,29 @@
 	return count, err
 }
 
+// SyscallConn implements syscall.Conn. Reads through it pause, too.
+func (c *pausedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return &pausedRawConn{RawConn: raw, pause: c.pause}, err
+}
+
+type pausedRawConn struct {
+	syscall.RawConn
+
+	pause *atomic.Int64
+}
+
+// Read implements syscall.RawConn.
+func (c *pausedRawConn) Read(read func(descriptor uintptr) bool) error {
+	return c.RawConn.Read(func(descriptor uintptr) bool {
+		done := read(descriptor)
+		if done {
+			time.Sleep(time.Duration(c.pause.Load()))
+		}
+		return done
+	})
+}
+
 // TestSweepDuringRead closes idle connections while the process has taken a request from
 // the network but has not stored it yet. It guards against a request that was read and
 // is dropped, since its connection still looks idle.
