httpd: read by syscall.Read, whose order of memory the race detector knows

Traced: the order between a write to a connection and the read at its other end is known to the detector through syscall.Read and Write; unix.Read, used since, keeps a record of its own. The system call is the same.

--- a/httpd/receive.go
+++ b/httpd/receive.go
@@ -8,7 +8,6 @@
 	"syscall"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
 )
 
 // receive reads once from a connection and calls record with the result, both in one
@@ -37,7 +36,7 @@
 		mutex.Lock()
 		defer mutex.Unlock()
 		count, readErr = readSocket(int(descriptor), buffer)
-		if errors.Is(readErr, unix.EAGAIN) {
+		if errors.Is(readErr, syscall.EAGAIN) {
 			return false
 		}
 		record(buffer[:count], readErr)
@@ -52,13 +51,13 @@
 }
 
 // readSocket reads what has come. Its errors are those of a connection, but for
-// unix.EAGAIN if nothing has come.
+// syscall.EAGAIN if nothing has come.
 func readSocket(descriptor int, buffer []byte) (int, error) {
 	for {
-		count, err := unix.Read(descriptor, buffer)
+		count, err := syscall.Read(descriptor, buffer)
 		switch {
-		case errors.Is(err, unix.EINTR):
-		case errors.Is(err, unix.EAGAIN):
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
 			return 0, err
 		case err != nil:
 			return 0, readError(os.NewSyscallError("read", err))
