httpd: a shutdown answers requests on connections that were not accepted yet

What callers saw: a connection that the kernel had taken, with a request on it, was reset when a stop closed the listener.

Cause: Shutdown closed the listener at once. Linux resets what waits to be accepted. The longer the process waits for a processor, the more waits.

TestShutdownAnswersPending, which begins the shutdown before the server accepts, failed before (20 of 20 requests reset) and passes.

Change: a stopped listener accepts until the kernel has no connection left, then closes. Between the two some microseconds remain.

--- a/httpd/closing_test.go
+++ b/httpd/closing_test.go
@@ -13,7 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/httpd"
+	"dandeliondoor/kernel"
 )
 
 // smallReceiveBuffer is the size of the receive buffer of a caller that reads slowly, in
@@ -340,12 +343,16 @@
 	}
 }
 
-// TestShutdownWhileLingering lets a shutdown time out while the only connection waits for
-// its caller to close it. It guards against a stop that fails because of a caller that
+// TestShutdownWhileLingering ends the time of a shutdown while the only connection waits
+// for its caller to close it. It guards against a stop that fails because of a caller that
 // has its response.
 func TestShutdownWhileLingering(t *testing.T) {
 	t.Parallel()
-	server, address := startServer(t, func(http.ResponseWriter, *http.Request) { time.Sleep(100 * time.Millisecond) })
+	handling, proceed := make(chan struct{}), make(chan struct{})
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) {
+		close(handling)
+		<-proceed
+	})
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -354,14 +361,62 @@
 	if _, err := io.WriteString(conn, shortRequest); err != nil {
 		t.Fatal(err)
 	}
+	<-handling
+	ctx, cancel := context.WithCancel(context.Background())
+	shutDown := kernel.Run(ctx, server.Shutdown)
 	time.Sleep(50 * time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	close(proceed)
+	reader := bufio.NewReader(conn)
+	if _, err := http.ReadResponse(reader, nil); err != nil {
+		t.Errorf("no response: %v", err)
+	}
+	// Lingering begins with the end of what the server sends.
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("got %v after the response, want its end", err)
+	}
+	cancel()
+	if err := <-shutDown; err != nil {
 		t.Errorf("the shutdown failed: %v", err)
 	}
-	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
-		t.Errorf("no response: %v", err)
+}
+
+// TestShutdownAnswersPending shuts down a server that has not accepted a connection yet.
+// It guards against requests that are reset because the server closes its listener while
+// the kernel holds their connections.
+func TestShutdownAnswersPending(t *testing.T) {
+	t.Parallel()
+	const callers = 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httpd.NewServer(listener, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	conns := make([]net.Conn, callers)
+	for i := range conns {
+		if conns[i], err = net.Dial("tcp", listener.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		defer conns[i].Close()
+		if _, err := io.WriteString(conns[i], shortRequest); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(ctx) }()
+	time.Sleep(50 * time.Millisecond)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	for i, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+			t.Errorf("request %d got no response: %v", i, err)
+		}
+		_ = conn.Close()
+	}
+	if err := errors.Join(<-stopped, <-served); err != nil {
+		t.Errorf("the server ended with an error: %v", err)
 	}
 }
 
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -24,7 +24,7 @@
 // Server serves HTTP requests on a listener with a handler.
 type Server struct {
 	server   *http.Server
-	listener net.Listener
+	listener *callerListener
 	conns    *connSet
 	closing  atomic.Bool
 	stopping atomic.Bool
@@ -40,7 +40,7 @@
 // then only those of CloseExpired, which has to be called periodically.
 func WithReadAhead() Option {
 	return func(s *Server) {
-		s.listener = callerListener{Listener: s.listener, readAhead: true}
+		s.listener.readAhead = true
 		s.server.IdleTimeout, s.server.ReadHeaderTimeout = 0, 0
 	}
 }
@@ -60,7 +60,7 @@
 // NewServer returns a server that takes ownership of the listener.
 func NewServer(listener net.Listener, handler http.Handler, options ...Option) *Server {
 	s := &Server{
-		listener: listener, conns: newConnSet(),
+		listener: &callerListener{Listener: listener}, conns: newConnSet(),
 		accepted: make(chan struct{}), drained: make(chan struct{}),
 	}
 	s.server = &http.Server{
@@ -74,9 +74,6 @@
 	for _, option := range options {
 		option(s)
 	}
-	if _, wrapped := s.listener.(callerListener); !wrapped {
-		s.listener = callerListener{Listener: listener}
-	}
 	return s
 }
 
@@ -121,21 +118,23 @@
 	return errors.Wrap(err, "serve HTTP")
 }
 
-// Shutdown stops accepting connections, closes each connection that waits for a request,
-// and the others after their responses. It returns when none is left. When the context
-// ends, it returns an error if a response has not been sent. It may be called once.
+// Shutdown accepts the connections that are pending and no further ones, closes each
+// connection that waits for a request, and the others after their responses. It returns
+// when none is left. When the context ends, it returns an error if a response has not been
+// sent. It may be called once.
 //
 // http.Server.Shutdown isn't used, since it drops requests that have been read but not
 // yet passed to the handler.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.DisableKeepAlives()
-	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return errors.Wrap(err, "close listener")
+	if err := s.listener.stop(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "stop listener")
 	}
 	select {
 	case <-s.accepted:
 	case <-ctx.Done():
+		_ = s.listener.Close()
 		return errors.Wrap(ctx.Err(), "shut down HTTP server")
 	}
 	ticker := time.NewTicker(shutdownInterval)
