trace: find a request in the logs of daemons

Log lines have milliseconds.

Ruled out: a shared time source; the clocks of VMs may differ, the page of the command says so.

Evidence: session in cmds/testdata/commands.golden, with an unknown ID, a missing file, a line that is no JSON, another request whose ID begins alike.

--- a/cmds/main.go
+++ b/cmds/main.go
@@ -85,6 +85,7 @@
 		{name: "simulate", short: "Simulate server selection under a load", long: simulateHelp, command: &simulateCommand{program: p}},
 		{name: "state", short: "Print the state of a daemon", long: stateHelp, command: &stateCommand{program: p}},
 		{name: "status", short: "Show what is in force on daemons", long: statusHelp, command: &statusCommand{program: p}},
+		{name: "trace", short: "Find a request in the logs of daemons", long: traceHelp, command: &traceCommand{program: p}},
 		{name: "version", short: "Print the version", long: versionHelp, command: &versionCommand{program: p}},
 	}, p.hiddenCommands()...)
 }
--- a/cmds/main_test.go
+++ b/cmds/main_test.go
@@ -31,6 +31,11 @@
 		"serve --settings testdata/invalid.yaml",
 		"state --daemon 127.0.0.1:1",
 		"status --daemon 127.0.0.1:1 --output json",
+		"trace 9c41d07b",
+		"trace 9c41d07b testdata/trace/front-1.log testdata/trace/front-2.log",
+		"trace --around 1s 9c41d07b testdata/trace/front-1.log testdata/trace/front-2.log",
+		"trace 9c41 testdata/trace/front-1.log",
+		"trace 9c41d07b testdata/trace/missing.log",
 	} {
 		var stdout, stderr bytes.Buffer
 		code := cmds.Main(strings.Fields(arguments), &stdout, &stderr)
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -13,6 +13,9 @@
 // partField is the key of the field with the component that logged a line.
 const partField = "part"
 
+// timeFormat has milliseconds, so that lines of several daemons can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Logger writes the log of a process.
 type Logger struct {
 	root    *logrus.Logger
@@ -25,9 +28,9 @@
 	root.SetOutput(w)
 	switch format {
 	case "json":
-		root.SetFormatter(&logrus.JSONFormatter{})
+		root.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	case "text":
-		root.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+		root.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
 	default:
 		return nil, errors.Errorf("log format %q is neither text nor json", format)
 	}
--- /dev/null
+++ b/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace finds the lines of a request in the logs of daemons.
+package trace
