--- a/cmds/tracecmd.go
+++ b/cmds/tracecmd.go
@@ -38,12 +38,11 @@
 	if result.Malformed > 0 {
 		fmt.Fprintf(c.program.stderr, "lines with the ID that are not JSON with a time: %d\n", result.Malformed)
 	}
-	first := result.Lines[0].Time
-	fmt.Fprintf(c.program.stdout, "request %s from %s\n", c.Args.Request, first.Format(time.RFC3339Nano))
+	fmt.Fprintf(c.program.stdout, "request %s, first line %s\n", c.Args.Request, result.Began.Format(time.RFC3339Nano))
 	table := tabwriter.NewWriter(c.program.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "AFTER\tLOG\tLINE\tMESSAGE\tFIELDS")
 	for _, line := range result.Lines {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", line.Time.Sub(first), line.Log, line.Number, line.Message, line.Fields())
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", line.Time.Sub(result.Began), line.Log, line.Number, line.Message, line.Fields())
 	}
 	return table.Flush()
 }
--- a/trace/line.go
+++ b/trace/line.go
@@ -56,11 +56,12 @@
 	return text
 }
 
-// identities returns the fingerprints in the line.
+// identities returns the fingerprints in the line. One of zeros means that the request was
+// answered before it was known.
 func (l Line) identities() []string {
 	var identities []string
 	for _, name := range []string{fieldFingerprint, fieldContent} {
-		if identity := l.text(name); identity != "" {
+		if identity := l.text(name); strings.Trim(identity, "0") != "" {
 			identities = append(identities, identity)
 		}
 	}
--- a/trace/search.go
+++ b/trace/search.go
@@ -25,6 +25,8 @@
 
 // Result is what a search found.
 type Result struct {
+	// Began is the time of the request's first line.
+	Began time.Time
 	// Lines is in the order of time.
 	Lines []Line
 	// Read is the number of lines that were read.
@@ -79,6 +81,7 @@
 	if len(own) == 0 {
 		return Result{}, &NotFoundError{Request: s.Request, Read: result.Read, Malformed: result.Malformed}
 	}
+	result.Began = began(own)
 	for _, path := range paths {
 		related, err := s.related(path, own[path], identities)
 		if err != nil {
@@ -90,6 +93,19 @@
 	return result, nil
 }
 
+// began returns the time of the first of the lines of several logs.
+func began(own map[string][]Line) time.Time {
+	var first time.Time
+	for _, lines := range own {
+		for _, l := range lines {
+			if first.IsZero() || l.Time.Before(first) {
+				first = l.Time
+			}
+		}
+	}
+	return first
+}
+
 // compareLines orders lines by time, and those of one log as they were written.
 func compareLines(a, b Line) int {
 	if order := a.Time.Compare(b.Time); order != 0 || a.Log != b.Log {
