httpd: accept pending connections with the listener's own Accept

Change: a stopped listener calls Accept with a short deadline as long as poll(2) says that a connection is pending.

Ruled out: a deadline alone; a process that waits for a processor longer than the deadline would not try to accept at all.

The failing duplicate itself was not shown.

--- a/httpd/listener.go
+++ b/httpd/listener.go
@@ -9,8 +9,15 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
+// pendingTimeout limits each wait for a connection that is pending while a listener is
+// stopped.
+const pendingTimeout = 10 * time.Millisecond
+
+var errNoDeadline = errors.New("listener has no deadline")
+
 // callerListener wraps accepted connections in a callerConn. Once it is stopped, it
 // accepts what the kernel still holds for it, and then closes: closing at once would
 // reset these connections, whose requests may have arrived.
@@ -23,67 +30,59 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if l.stopped.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		conn, err = l.acceptPending()
-	}
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return newCallerConn(time.Now(), conn, l.readAhead), nil
+		case !l.stopped.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		case !l.hasPending():
+			return nil, errors.Join(net.ErrClosed, l.Close())
+		}
+		if err := l.setDeadline(time.Now().Add(pendingTimeout)); err != nil {
+			return nil, err
+		}
 	}
-	return newCallerConn(time.Now(), conn, l.readAhead), nil
 }
 
 // stop makes Accept return the connections that are pending, and then net.ErrClosed.
 func (l *callerListener) stop() error {
 	l.stopped.Store(true)
+	// A blocked Accept returns at once.
+	if err := l.setDeadline(time.Unix(1, 0)); !errors.Is(err, errNoDeadline) {
+		return err
+	}
+	return l.Close()
+}
+
+func (l *callerListener) setDeadline(deadline time.Time) error {
 	limited, hasDeadline := l.Listener.(interface {
 		SetDeadline(deadline time.Time) error
 	})
-	if _, hasSocket := l.Listener.(syscall.Conn); !hasSocket || !hasDeadline {
-		return l.Close()
+	if !hasDeadline {
+		return errNoDeadline
 	}
-	return limited.SetDeadline(time.Unix(1, 0)) // A blocked Accept returns at once.
+	return limited.SetDeadline(deadline)
 }
 
-// acceptPending returns a connection that is pending. If there is none, it closes the
-// listener and returns net.ErrClosed.
-func (l *callerListener) acceptPending() (net.Conn, error) {
+// hasPending reports whether the kernel holds a connection that has not been accepted.
+func (l *callerListener) hasPending() bool {
 	socket, hasSocket := l.Listener.(syscall.Conn)
 	if !hasSocket {
-		return nil, net.ErrClosed
+		return false
 	}
 	rawConn, err := socket.SyscallConn()
 	if err != nil {
-		return nil, err
-	}
-	var descriptor int
-	var acceptErr error
-	if err := rawConn.Control(func(listener uintptr) { descriptor, acceptErr = acceptSocket(int(listener)) }); err != nil {
-		return nil, err
-	}
-	switch {
-	case errors.Is(acceptErr, syscall.EAGAIN):
-		if err := l.Close(); err != nil {
-			return nil, err
-		}
-		return nil, net.ErrClosed
-	case acceptErr != nil:
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", acceptErr)}
+		return false
 	}
-	file := os.NewFile(uintptr(descriptor), "")
-	conn, err := net.FileConn(file)
-	_ = file.Close() // The connection has a descriptor of its own.
-	return conn, err
-}
-
-// acceptSocket accepts a pending connection. Its error is syscall.EAGAIN if there is none.
-func acceptSocket(listener int) (int, error) {
-	for {
-		descriptor, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		if !errors.Is(err, syscall.EINTR) && !errors.Is(err, syscall.ECONNABORTED) {
-			return descriptor, err
+	ready := 0
+	err = rawConn.Control(func(descriptor uintptr) {
+		for pollErr := error(unix.EINTR); errors.Is(pollErr, unix.EINTR); {
+			ready, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
 		}
-	}
+	})
+	return err == nil && ready > 0
 }
 
 // connKey is the context key of the callerConn of a request.
