cmds: a stop begins although nobody reads the daemon's output

What callers saw: after SIGUSR1, with a pipe for standard error that is full, a daemon did not handle SIGTERM. What ends such a process is SIGKILL, which cuts each request on it.

Cause: the loop that handles signals wrote the state, and read the settings file, itself. At the exit the logger waited without a limit for its queue.

Change: both run in the background, one at a time; the loop only handles signals. Closing the log waits 0.15 s at most.

Ruled out: dropping the state dump when a write would block; a file can block, too, and cannot tell.

--- a/cmds/frontcmd.go
+++ b/cmds/frontcmd.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"dandeliondoor/config"
@@ -73,28 +74,29 @@
 	}
 	log := logger.Part("daemon").WithField("name", settings.Name).WithField("zone", settings.Zone)
 	log.Info("started")
-	c.serve(f, log, signals)
-	err = f.Stop(ctx, time.Now())
+	tasks := newBackground(ctx)
+	c.serve(f, log, tasks, signals)
+	err = errors.Join(f.Stop(ctx, time.Now()), tasks.close())
 	log.WithField("clean", err == nil).Info("stopped")
 	return err
 }
 
 // serve handles signals and reloads changed settings until a signal stops the
 // daemon.
-func (c *frontCommand) serve(f *daemon.Front, log *logrus.Entry, signals <-chan os.Signal) {
+func (c *frontCommand) serve(f *daemon.Front, log *logrus.Entry, tasks *background, signals <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			c.reload(f, log)
+			tasks.do(func() { c.reload(f, log) })
 		case signal := <-signals:
 			switch signal {
 			case syscall.SIGHUP:
 				log.Info("received SIGHUP; reloading settings")
-				c.reload(f, log)
+				tasks.do(func() { c.reload(f, log) })
 			case syscall.SIGUSR1:
-				c.dump(f)
+				tasks.do(func() { c.dump(f) })
 			default:
 				log.WithField("signal", signal.String()).Info("stopping")
 				return
--- a/cmds/servecmd.go
+++ b/cmds/servecmd.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/config"
 	"dandeliondoor/daemon"
 	"dandeliondoor/logs"
@@ -54,15 +56,16 @@
 	}
 	log := logger.Part("daemon").WithField("name", settings.Name)
 	log.Info("started")
+	tasks := newBackground(ctx)
 	for {
 		switch signal := <-signals; signal {
 		case syscall.SIGHUP:
 			log.Info("received SIGHUP; settings are read at the start only")
 		case syscall.SIGUSR1:
-			c.dump(d)
+			tasks.do(func() { c.dump(d) })
 		default:
 			log.WithField("signal", signal.String()).Info("stopping")
-			return d.Stop(ctx)
+			return errors.Join(d.Stop(ctx), tasks.close())
 		}
 	}
 }
--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 )
@@ -14,6 +15,12 @@
 // blocked.
 const maxQueuedLines = 1024
 
+// closeTimeout limits the wait for the queued lines at the end: the reader of the log may
+// have stalled.
+const closeTimeout = 150 * time.Millisecond
+
+var errNotWritten = errors.New("the last log lines were not written in time")
+
 // boundedWriter writes lines in the background so that logging never blocks. It drops
 // and counts lines above the rate limit and lines that do not fit in the queue.
 type boundedWriter struct {
@@ -58,12 +65,18 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and waits until they are written. Nothing may be
-// logged afterwards.
+// Close writes the queued lines and waits until they are written, or for closeTimeout.
+// Nothing may be logged afterwards.
 func (b *boundedWriter) Close() error {
 	b.closeOnce.Do(func() { close(b.lines) })
-	<-b.done
-	return nil
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-b.done:
+		return nil
+	case <-timer.C:
+		return errNotWritten
+	}
 }
 
 // NewBounded returns a logger that never blocks and writes at most linesPerSecond
--- a/procs/signal_test.go
+++ b/procs/signal_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dandeliondoor/fakes"
 	"dandeliondoor/proto"
 )
@@ -66,6 +68,37 @@
 	}
 }
 
+// TestFrontStalledOutput stops a daemon whose output nobody reads, after its state was asked
+// for. It guards against a stop that does not begin, or a process that does not end, because
+// a write blocks.
+func TestFrontStalledOutput(t *testing.T) {
+	t.Parallel()
+	const pipeSize = 4 << 10
+	f := newFrontFleet(t, 1, 1)
+	reader, writer, err := os.Pipe()
+	must(t, err)
+	defer reader.Close()
+	_, err = unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, pipeSize)
+	must(t, err)
+	f.output = writer
+	p := f.startFront("front-stalled", zones[0])
+	f.waitFrontReady(p)
+	for range 50 {
+		if _, status, _, err := f.send(p, http.MethodPost, "/bales/1", "sacks"); err != nil || status != http.StatusOK {
+			t.Fatalf("got status %d, error %v, want 200", status, err)
+		}
+	}
+	f.setServerFaults(fakes.ServerFaults{Work: time.Second})
+	pending := f.request(p, http.MethodPost, "/bales/1", "pending", strings.NewReader("sacks"), 5)
+	p.signal(t, syscall.SIGUSR1)
+	time.Sleep(300 * time.Millisecond)
+	began := f.stop(p)
+	if answer := <-pending; answer.err != nil || answer.status != http.StatusOK {
+		t.Errorf("got %+v, want 200", answer)
+	}
+	f.checkExit(p, began)
+}
+
 // stopCase is a planned stop under load, beside something else.
 type stopCase struct {
 	name   string
