soak: findings have the time and the limit of the request; a test logs its traces

Change: a finding names the daemon, the time to the response and the limit. A failing test of the soak logs the daemons' lines about the requests of its findings, a second before and after included.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -180,7 +180,8 @@
 
 // String returns the call as text for the report.
 func (c call) String() string {
-	text := fmt.Sprintf("request %s (%s, status %d)", c.id, c.method, c.status)
+	text := fmt.Sprintf("request %s (%s, %s, status %d after %s, limit %s)", c.id, c.method, c.daemon, c.status,
+		c.endedAt.Sub(c.sentAt).Round(time.Millisecond), c.limit)
 	if c.cut {
 		text += fmt.Sprintf(", which %s cut %s after its last byte (kept %t, behind another %t),",
 			c.daemon, c.endedAt.Sub(c.lastByteAt).Round(time.Millisecond), c.kept, c.behind)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,9 +4,13 @@
 	"context"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
+	"time"
 
 	"dandeliondoor/soak"
+	"dandeliondoor/trace"
 )
 
 // TestSeeds runs short soaks with fixed seeds. Seeds that failed once stay in the table,
@@ -69,5 +73,27 @@
 	}
 	if len(report.Findings) > 0 || report.Served == 0 {
 		t.Error(report)
+		logTraces(t, options.Directory, report.Findings)
+	}
+}
+
+var requestID = regexp.MustCompile(`\br-\d+\b`)
+
+// logTraces logs what the daemons logged about the requests of findings. The logs are gone
+// when the test has ended.
+func logTraces(t *testing.T, directory string, findings []string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(directory, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range requestID.FindAllString(strings.Join(findings, "\n"), -1) {
+		result, err := trace.Search{Request: id, Around: time.Second}.Files(files)
+		if err != nil {
+			t.Log(err)
+		}
+		for _, line := range result.Lines {
+			t.Log(id, line.Time.Sub(result.Began), line.Log, line.Message, line.Fields())
+		}
 	}
 }
