choose: bound the holds of servers by their listed starts

Cause: a hold of an earlier start was kept for an hour, so a server that leaves and restarts again and again added one each time; the hold of a leaving server whose entry was missing for over an hour was dropped, after which its entry may come back; and each answer walked all holds, as did each request.

Ruled out: a limit on the number of holds, since a full table would forget one in force; the order of births, since a server's clock can go back.

Held looks up the servers of one service, so a request excludes only those of its own.

--- a/choose/holds.go
+++ b/choose/holds.go
@@ -9,15 +9,22 @@
 const (
 	// maxPause bounds how long a server can keep one daemon away.
 	maxPause = 24 * time.Hour
-	// holdRetention is how long the wish of a server is kept after the server was
-	// listed last: its entry may only be missing for a while.
-	holdRetention = time.Hour
+	// holdRetention is how long a leaving server is remembered after it was listed
+	// last: its entry may only be missing for a while.
+	holdRetention = 24 * time.Hour
+	// replacedRetention is the same while another start of the server is listed. Only
+	// an older list can show the earlier one again.
+	replacedRetention = time.Minute
+	// holdSweepInterval is how often the holds are compared with the listed servers.
+	holdSweepInterval = 5 * time.Second
 )
 
 // Holds tracks the servers that asked this daemon for no further requests: those that
-// leave, and those that turned a request away for a period.
+// leave, and those that turned a request away for a period. Its size is bounded by the
+// number of servers that are listed or were within holdRetention.
 type Holds struct {
-	holds map[holdKey]hold
+	holds   map[holdKey]hold
+	sweptAt time.Time
 }
 
 // holdKey identifies one start of a server.
@@ -51,36 +58,58 @@
 }
 
 func (h *Holds) update(now time.Time, server topo.Server, change func(known *hold)) {
-	h.expire(now)
-	key := holdKey{server: server.ID, born: server.Born}
+	key := keyOf(server)
 	known := h.holds[key]
 	known.listedAt = now
 	change(&known)
 	h.holds[key] = known
 }
 
-// expire drops the holds that have ended and those of servers that are gone.
-func (h *Holds) expire(now time.Time) {
+func keyOf(server topo.Server) holdKey { return holdKey{server: server.ID, born: server.Born} }
+
+// Sweep drops the holds that have ended, and those of starts that are over. It does
+// nothing if the last sweep was a moment ago.
+func (h *Holds) Sweep(now time.Time, listed map[string]topo.Server) {
+	if now.Sub(h.sweptAt) < holdSweepInterval {
+		return
+	}
+	h.sweptAt = now
 	for key, known := range h.holds {
-		ended := !known.leaving && !now.Before(known.pausedUntil)
-		if ended || (now.Sub(known.listedAt) > holdRetention && !now.Before(known.pausedUntil)) {
+		server, found := listed[key.server]
+		if found && server.Born == key.born {
+			known.listedAt = now
+			h.holds[key] = known
+		}
+		if !known.inForce(now) || known.isOver(now, found) {
 			delete(h.holds, key)
 		}
 	}
 }
 
-// Held returns the listed servers that get no requests of this daemon.
-func (h *Holds) Held(now time.Time, listed map[string]topo.Server) []string {
+// inForce reports whether the server still wants no requests.
+func (h hold) inForce(now time.Time) bool { return h.leaving || now.Before(h.pausedUntil) }
+
+// isOver reports whether the start of the server has been missing in the list for so
+// long that it has ended. Replaced means that another start is listed.
+func (h hold) isOver(now time.Time, replaced bool) bool {
+	if replaced {
+		return now.Sub(h.listedAt) > replacedRetention
+	}
+	return now.Sub(h.listedAt) > holdRetention
+}
+
+// Len returns the number of holds.
+func (h *Holds) Len() int { return len(h.holds) }
+
+// Held returns those of the servers that get no requests of this daemon.
+func (h *Holds) Held(now time.Time, servers []topo.Server) []string {
+	if len(h.holds) == 0 {
+		return nil
+	}
 	var held []string
-	for key, known := range h.holds {
-		server, found := listed[key.server]
-		if !found || server.Born != key.born {
-			continue
-		}
-		known.listedAt = now
-		h.holds[key] = known
-		if known.leaving || now.Before(known.pausedUntil) {
-			held = append(held, key.server)
+	for _, server := range servers {
+		if h.holds[keyOf(server)].inForce(now) {
+			held = append(held, server.ID)
 		}
 	}
 	return held
@@ -91,7 +120,7 @@
 func (h *Holds) NextEnd(now time.Time, servers []topo.Server) time.Duration {
 	var next time.Duration
 	for _, server := range servers {
-		known := h.holds[holdKey{server: server.ID, born: server.Born}]
+		known := h.holds[keyOf(server)]
 		left := known.pausedUntil.Sub(now)
 		if !known.leaving && left > 0 && (next == 0 || left < next) {
 			next = left
--- /dev/null
+++ b/choose/holds_bound_test.go
@@ -0,0 +1,180 @@
+package choose_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"dandeliondoor/choose"
+	"dandeliondoor/topo"
+)
+
+// manyServers is the number of servers of the largest deployments.
+const manyServers = 38000
+
+// listOf returns a list of servers by ID, each in the same start.
+func listOf(count int, born int64) map[string]topo.Server {
+	listed := make(map[string]topo.Server, count)
+	for i := range count {
+		id := fmt.Sprintf("i-%05d", i)
+		listed[id] = topo.Server{ID: id, Service: "souk", Born: born}
+	}
+	return listed
+}
+
+// TestHoldsMemory guards against memory that grows with each start of a server that
+// leaves, or that asks for a long pause and is gone.
+func TestHoldsMemory(t *testing.T) {
+	const starts, maxBytes = 20, 32 << 20
+	for _, test := range []struct {
+		name string
+		ask  func(holds *choose.Holds, now time.Time, server topo.Server)
+		// born returns the time of a start.
+		born func(start int) int64
+		// lists tells whether the servers are in the list between their starts.
+		lists bool
+		most  int
+	}{
+		{
+			name: "gone within a pause of a day", most: manyServers,
+			ask:  func(holds *choose.Holds, now time.Time, server topo.Server) { holds.Pause(now, server, 24*time.Hour) },
+			born: func(int) int64 { return 1 },
+		},
+		{
+			name: "leave again and again", lists: true, most: manyServers,
+			ask:  func(holds *choose.Holds, now time.Time, server topo.Server) { holds.Leave(now, server) },
+			born: func(start int) int64 { return int64(start) },
+		},
+		{
+			name: "leave again and again, with a clock that goes back", lists: true, most: manyServers,
+			ask:  func(holds *choose.Holds, now time.Time, server topo.Server) { holds.Leave(now, server) },
+			born: func(start int) int64 { return int64(-start) },
+		},
+		{
+			name: "long pauses again and again", lists: true, most: manyServers,
+			ask:  func(holds *choose.Holds, now time.Time, server topo.Server) { holds.Pause(now, server, 24*time.Hour) },
+			born: func(start int) int64 { return int64(start) },
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			holds, now := choose.NewHolds(), epoch
+			before := heapBytes()
+			for start := range starts {
+				listed := listOf(manyServers, test.born(start))
+				for _, server := range listed {
+					test.ask(holds, now, server)
+				}
+				now = now.Add(2 * time.Minute)
+				if test.lists {
+					holds.Sweep(now, listed)
+				}
+			}
+			if entries := holds.Len(); entries > test.most {
+				t.Errorf("%d entries, want at most %d", entries, test.most)
+			}
+			used := heapBytes() - before
+			if used > maxBytes {
+				t.Errorf("%d KB, want at most %d", used>>10, maxBytes>>10)
+			}
+			t.Logf("%d entries in %d KB", holds.Len(), used>>10)
+			holds.Sweep(now.Add(25*time.Hour), nil)
+			if entries := holds.Len(); entries > 0 {
+				t.Errorf("%d entries of servers that are gone for a day", entries)
+			}
+			runtime.KeepAlive(holds)
+		})
+	}
+}
+
+// heapBytes returns the bytes of the heap in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// TestHoldsFull guards against a hold in force that is dropped because there are many
+// others, or because its server is missing in the list.
+func TestHoldsFull(t *testing.T) {
+	t.Parallel()
+	leaving := topo.Server{ID: "i-leaving", Born: 7}
+	paused := topo.Server{ID: "i-paused", Born: 7}
+	for _, test := range []struct {
+		name string
+		play func(holds *choose.Holds, now time.Time) time.Time
+	}{
+		{name: "an older list for a while", play: func(holds *choose.Holds, now time.Time) time.Time {
+			holds.Sweep(now, map[string]topo.Server{leaving.ID: {ID: leaving.ID, Born: 6}, paused.ID: {ID: paused.ID, Born: 6}})
+			return now.Add(30 * time.Second)
+		}},
+		{name: "listed all day", play: func(holds *choose.Holds, now time.Time) time.Time {
+			for range 23 * 60 {
+				now = now.Add(time.Minute)
+				holds.Sweep(now, map[string]topo.Server{leaving.ID: leaving, paused.ID: paused})
+			}
+			return now
+		}},
+		{name: "many others", play: func(holds *choose.Holds, now time.Time) time.Time {
+			for start := range int64(3) {
+				for _, server := range listOf(manyServers, start) {
+					holds.Pause(now, server, time.Minute)
+				}
+				holds.Sweep(now, nil)
+				now = now.Add(2 * time.Minute)
+			}
+			return now
+		}},
+		{name: "no list for most of a day", play: func(holds *choose.Holds, now time.Time) time.Time {
+			for range 23 {
+				now = now.Add(time.Hour)
+				holds.Sweep(now, nil)
+			}
+			return now
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			holds := choose.NewHolds()
+			holds.Leave(epoch, leaving)
+			holds.Pause(epoch, paused, 24*time.Hour)
+			now := test.play(holds, epoch)
+			holds.Pause(now, topo.Server{ID: "i-other"}, time.Second)
+			held := holds.Held(now, []topo.Server{leaving, paused})
+			if want := []string{leaving.ID, paused.ID}; !slices.Equal(held, want) {
+				t.Errorf("held servers %v, want %v", held, want)
+			}
+		})
+	}
+}
+
+// BenchmarkHolds measures what an answer costs that asks for a pause, and what the list
+// of the held servers of a service costs, while many servers are in pauses.
+func BenchmarkHolds(b *testing.B) {
+	listed := listOf(manyServers, 1)
+	holds := choose.NewHolds()
+	var service []topo.Server
+	for _, server := range listed {
+		holds.Leave(epoch, server)
+		if len(service) < 1500 {
+			service = append(service, server)
+		}
+	}
+	b.Run("pause", func(b *testing.B) {
+		for range b.N {
+			holds.Pause(epoch, service[0], time.Hour)
+		}
+	})
+	b.Run("held", func(b *testing.B) {
+		for range b.N {
+			holds.Held(epoch, service)
+		}
+	})
+	b.Run("sweep", func(b *testing.B) {
+		for i := range b.N {
+			holds.Sweep(epoch.Add(time.Duration(i)*5*time.Second), listed)
+		}
+	})
+}
--- a/choose/holds_test.go
+++ b/choose/holds_test.go
@@ -1,6 +1,7 @@
 package choose_test
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -28,13 +29,13 @@
 		{name: "leaving", after: 5 * time.Hour, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
 			holds.Leave(now, server)
 			for i := range 50 {
-				holds.Held(now.Add(time.Duration(i)*6*time.Minute), map[string]topo.Server{server.ID: server})
+				holds.Sweep(now.Add(time.Duration(i)*6*time.Minute), map[string]topo.Server{server.ID: server})
 			}
 			holds.Pause(now.Add(5*time.Hour), topo.Server{ID: "i-2"}, time.Second)
 		}},
 		{name: "leaving, not listed for a while", after: time.Minute, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
 			holds.Leave(now, server)
-			holds.Held(now.Add(time.Second), nil)
+			holds.Sweep(now.Add(6*time.Second), nil)
 		}},
 		{name: "longer pause first", after: 3 * time.Second, listed: server, held: true, play: func(holds *choose.Holds, now time.Time) {
 			holds.Pause(now, server, 4*time.Second)
@@ -56,7 +57,7 @@
 			holds := choose.NewHolds()
 			now := time.Now()
 			test.play(holds, now)
-			held := holds.Held(now.Add(test.after), map[string]topo.Server{test.listed.ID: test.listed})
+			held := holds.Held(now.Add(test.after), []topo.Server{test.listed})
 			if slices.Contains(held, test.listed.ID) != test.held {
 				t.Errorf("held servers %v, want i-1 among them: %t", held, test.held)
 			}
@@ -118,7 +119,8 @@
 			case "answer of an earlier start":
 				holds.Leave(now, topo.Server{ID: id, Born: born[id] - 1})
 			}
-			held := holds.Held(now, listed)
+			holds.Sweep(now, listed)
+			held := holds.Held(now, slices.Collect(maps.Values(listed)))
 			for id, server := range listed {
 				want := server.Born == born[id] && (leaving[id] || now.Before(pausedUntil[id]))
 				if server.Born == born[id] && slices.Contains(held, id) != want {
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -171,7 +171,7 @@
 		Priority:  e.route.Priority,
 		Objective: e.route.Objective,
 		Left:      time.Until(h.currentStop().ServerDeadline(e.deadline)),
-		Exclude:   e.history.excluded(h.avoidedServers()),
+		Exclude:   e.history.excluded(h.avoidedServers(e.service)),
 		Repeat:    e.history.sends > 0,
 		Identity:  e.identity,
 		Probe:     e.route.Idempotent && e.body.resendable() && e.history.sends+1 < e.history.maxSends,
--- a/front/handler.go
+++ b/front/handler.go
@@ -22,6 +22,7 @@
 	"dandeliondoor/httpd"
 	"dandeliondoor/proto"
 	"dandeliondoor/slots"
+	"dandeliondoor/topo"
 	"dandeliondoor/upconn"
 )
 
@@ -369,12 +370,12 @@
 }
 
 // avoidedServers returns the servers that this daemon currently cannot reach, and those
-// that asked it for no further requests.
-func (h *Handler) avoidedServers() []string {
+// of a service that asked it for no further requests.
+func (h *Handler) avoidedServers(service string) []string {
 	now := time.Now()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	avoided := h.holds.Held(now, h.views.View().Servers)
+	avoided := h.holds.Held(now, h.views.View().Services[service])
 	if h.reachability.Any() {
 		avoided = append(avoided, h.reachability.AvoidedUpstreams(now)...)
 	}
@@ -399,6 +400,13 @@
 		WithField("retry_after", report.RetryAfter.String()).Debug("server wants no further requests")
 }
 
+// sweepHolds drops what servers that are gone asked for.
+func (h *Handler) sweepHolds(now time.Time, listed map[string]topo.Server) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.holds.Sweep(now, listed)
+}
+
 // nextServer returns the time until a server of a service wants requests of this daemon
 // again, 0 if none keeps it away.
 func (h *Handler) nextServer(service string) time.Duration {
