slots: an ask excludes only servers of its own part

Cause: a daemon told a part's broker each server of the service that it keeps away from. With 1,499 of 1,500 servers in pauses, a decision among 200 servers took 1.7 ms, 0.08 ms without exclusions (a benchmark of Pool.Choose), under the lock of the broker, and the ask carried 1,499 IDs.

Ruled out: a set in the pool, which leaves the bytes of the asks.

Change: the client sends those that belong to the part.

Evidence: TestExcludedOfPart failed before (12,000 exclusions in eight asks instead of 1,500).

--- a/slots/client.go
+++ b/slots/client.go
@@ -61,6 +61,7 @@
 	ask.Daemon = c.views.Self().Name
 	ask.Ticket = c.ticket.Add(1)
 	pool := newPoolKey(service, c.views.View().PartCount(service), ask.Identity.Content, refusals)
+	ask.Exclude = pool.members(ask.Exclude)
 	request := AskRequest{Pool: pool, Ask: ask}
 	asked := 0
 	for _, daemon := range c.brokers(pool) {
--- a/slots/part.go
+++ b/slots/part.go
@@ -47,6 +47,20 @@
 	return members
 }
 
+// members filters the IDs of servers of a service to those that belong to the part.
+func (k PoolKey) members(ids []string) []string {
+	if k.Parts <= 1 {
+		return ids
+	}
+	var members []string
+	for _, id := range ids {
+		if poolOf(k.Service, id, k.Parts) == k {
+			members = append(members, id)
+		}
+	}
+	return members
+}
+
 // poolOf returns the pool to which a server of a service belongs.
 func poolOf(service, server string, parts int) PoolKey {
 	return PoolKey{Service: service, Part: int(rank.Score(service, server) % uint64(max(parts, 1))), Parts: parts}
