front: refuse at once while all servers of a service are held

Cause: a request for a service whose servers all leave or are in pauses asked the brokers every 25 ms until an eighth of its objective had passed, and was refused then. Its Retry-After was wrong in three ways. The request that the last server had refused was told 0.1 s, whatever the servers' pauses. If one server was in a pause of an hour and another one just failed, callers were told an hour. Values were rounded to the nearest hundredth, so a caller could come back up to 5 ms early.

Ruled out: making no_server final. A broker may lack a server for a moment, and a pause may end within the wait.

Change: before each ask the daemon looks whether a server may take the request until the end of the wait; if all are held until then, were tried or can't be reached, it refuses at once. Retry-After is the end of the first pause if all servers that don't drain are held, rounded up.

--- a/choose/holds.go
+++ b/choose/holds.go
@@ -115,14 +115,25 @@
 	return held
 }
 
-// NextEnd returns the time until the first of the servers wants requests again, 0 if
-// none is paused.
+// HeldAt reports whether a server will get no requests of this daemon at a time, if it
+// says nothing new until then.
+func (h *Holds) HeldAt(at time.Time, server topo.Server) bool {
+	return h.holds[keyOf(server)].inForce(at)
+}
+
+// NextEnd returns the time until the first of the servers wants requests again, 0 if one
+// wants them now or none is paused. It ignores servers that drain.
 func (h *Holds) NextEnd(now time.Time, servers []topo.Server) time.Duration {
 	var next time.Duration
 	for _, server := range servers {
+		if server.Draining {
+			continue
+		}
 		known := h.holds[keyOf(server)]
-		left := known.pausedUntil.Sub(now)
-		if !known.leaving && left > 0 && (next == 0 || left < next) {
+		if !known.inForce(now) {
+			return 0
+		}
+		if left := known.pausedUntil.Sub(now); !known.leaving && (next == 0 || left < next) {
 			next = left
 		}
 	}
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -97,7 +97,7 @@
 			}
 		}
 	}
-	return e.finalResponse(ctx, last)
+	return e.finalResponse(ctx, last, h.nextServer(e.service))
 }
 
 // hedge sends an idempotent request to another server when the pending attempt
@@ -114,7 +114,7 @@
 // beginAttempt obtains a lease on a server and starts an attempt in the background.
 // It reports false if no server was granted. A refusal is retried only until
 // waitUntil, which is measured from the arrival of the request, so that mainly the
-// first attempt waits for a server.
+// first attempt waits for a server, and only if one may take the request by then.
 func (h *Handler) beginAttempt(ctx context.Context, e *exchange) bool {
 	waitUntil := e.arrived.Add(max(e.route.Objective/slotWaitDivisor, minWait))
 	for slotRequests := 1; ; slotRequests++ {
@@ -122,6 +122,10 @@
 			e.refused = true
 			return false
 		}
+		if h.allHeld(e, time.Now(), waitUntil) {
+			e.lastRefusal = choose.Refused{Reason: choose.ReasonNoServer, RetryAfter: h.nextServer(e.service)}
+			return false
+		}
 		lease, err := h.slots.Ask(ctx, e.service, slotRequests-1, h.slotRequest(e))
 		if err == nil {
 			h.startAttempt(ctx, e, lease)
@@ -211,7 +215,10 @@
 }
 
 // finalResponse returns the response to a request none of whose attempts was served.
-func (e *exchange) finalResponse(ctx context.Context, last attemptResult) (*serverResponse, localResponse) {
+// NextServer is the time until a server wants requests again if all want none.
+func (e *exchange) finalResponse(
+	ctx context.Context, last attemptResult, nextServer time.Duration,
+) (*serverResponse, localResponse) {
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	interrupted := errors.Is(context.Cause(ctx), errStopping)
 	switch {
@@ -228,15 +235,17 @@
 	case expired:
 		return nil, localResponse{status: http.StatusServiceUnavailable, reason: reasonDeadline}
 	case last.outcome == choose.Shed || last.outcome == choose.Misdirected:
-		return nil, localResponse{status: http.StatusServiceUnavailable, reason: reasonServersShed, retryAfter: minRetryAfter}
+		return nil, localResponse{
+			status: http.StatusServiceUnavailable, reason: reasonServersShed, retryAfter: max(nextServer, minRetryAfter),
+		}
 	default:
 		return nil, e.noServerResponse()
 	}
 }
 
-// minRetryAfter is the Retry-After delay of a request that servers shed or that
-// arrived before there was a configuration, and the minimum delay of one that no
-// server was granted for.
+// minRetryAfter is the Retry-After delay of a request that arrived before there was a
+// configuration, and the minimum delay of one that servers shed or that no server was
+// granted for.
 const minRetryAfter = 100 * time.Millisecond
 
 // unsentResponse returns the response to a request that no attempt was begun for.
--- a/front/handler.go
+++ b/front/handler.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -407,8 +408,30 @@
 	h.holds.Sweep(now, listed)
 }
 
-// nextServer returns the time until a server of a service wants requests of this daemon
-// again, 0 if none keeps it away.
+// allHeld reports whether no server can take a request until a time, because servers
+// want no requests of this daemon, and the request has been sent to the others or they
+// can't be reached.
+func (h *Handler) allHeld(e *exchange, now, until time.Time) bool {
+	if until.Before(now) {
+		until = now
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	held := false
+	for _, server := range h.views.View().Services[e.service] {
+		switch {
+		case h.holds.HeldAt(until, server):
+			held = true
+		case server.Draining, slices.Contains(e.history.tried, server.ID), h.reachability.ShouldAvoid(until, server.ID):
+		default:
+			return false
+		}
+	}
+	return held
+}
+
+// nextServer returns the time until the first server of a service wants requests of this
+// daemon again, 0 if one does now or all are leaving.
 func (h *Handler) nextServer(service string) time.Duration {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/front/local_response.go
+++ b/front/local_response.go
@@ -58,9 +58,17 @@
 		header.Set(proto.HeaderRequestID, id)
 	}
 	if l.status == http.StatusServiceUnavailable || l.status == http.StatusTooManyRequests {
-		header.Set("Retry-After", strconv.FormatFloat(l.retryAfter.Seconds(), 'f', 2, 64))
+		header.Set("Retry-After", formatRetryAfter(l.retryAfter))
 	}
 	w.WriteHeader(l.status)
 	_, err := io.WriteString(w, string(l.outcome())+": "+string(l.reason)+"\n")
 	return err
 }
+
+// formatRetryAfter returns a delay in seconds, rounded up, so that no caller comes back
+// too early.
+func formatRetryAfter(delay time.Duration) string {
+	const unit = 10 * time.Millisecond
+	rounded := (delay + unit - 1).Truncate(unit)
+	return strconv.FormatFloat(rounded.Seconds(), 'f', 2, 64)
+}
