--- a/front/handler.go
+++ b/front/handler.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	"dandeliondoor/httpd"
 	"dandeliondoor/proto"
 	"dandeliondoor/slots"
+	"dandeliondoor/topo"
 	"dandeliondoor/upconn"
 )
 
@@ -369,12 +371,12 @@
 }
 
 // avoidedServers returns the servers that this daemon currently cannot reach, and those
-// that asked it for no further requests.
-func (h *Handler) avoidedServers() []string {
+// of a service that asked it for no further requests.
+func (h *Handler) avoidedServers(service string) []string {
 	now := time.Now()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	avoided := h.holds.Held(now, h.views.View().Servers)
+	avoided := h.holds.Held(now, h.views.View().Services[service])
 	if h.reachability.Any() {
 		avoided = append(avoided, h.reachability.AvoidedUpstreams(now)...)
 	}
@@ -399,8 +401,37 @@
 		WithField("retry_after", report.RetryAfter.String()).Debug("server wants no further requests")
 }
 
-// nextServer returns the time until a server of a service wants requests of this daemon
-// again, 0 if none keeps it away.
+// sweepHolds drops what servers that are gone asked for.
+func (h *Handler) sweepHolds(now time.Time, listed map[string]topo.Server) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.holds.Sweep(now, listed)
+}
+
+// allHeld reports whether no server can take a request until a time, because servers
+// want no requests of this daemon, and the request has been sent to the others or they
+// can't be reached.
+func (h *Handler) allHeld(e *exchange, now, until time.Time) bool {
+	if until.Before(now) {
+		until = now
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	held := false
+	for _, server := range h.views.View().Services[e.service] {
+		switch {
+		case h.holds.HeldAt(until, server):
+			held = true
+		case server.Draining, slices.Contains(e.history.tried, server.ID), h.reachability.ShouldAvoid(until, server.ID):
+		default:
+			return false
+		}
+	}
+	return held
+}
+
+// nextServer returns the time until the first server of a service wants requests of this
+// daemon again, 0 if one does now or all are leaving.
 func (h *Handler) nextServer(service string) time.Duration {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
