httpd: linger behind all that has been sent

What callers saw: a response to a request that ran was cut short by a reset, if the connection was closed behind it in another way than by the announced last response: the response after it was broken off (http.ErrAbortHandler), net/http answered a malformed request behind it by itself, or a caller with HTTP/1.0 asked to keep the connection. Seen by a caller that reads slowly while bytes of its next request arrive.

Cause: the connection lingered only if the handler had returned and had announced the close. That is one of several ways in which net/http closes; the kernel resets a closed connection when further bytes come, and drops what it has not sent yet.

Evidence: TestCloseBehindResponseOnItsWay before, all three cases: 'read 3964 of 262144 bytes of the response: connection reset by peer' (3999 for HTTP/1.0); passes now.

Change: a connection lingers when it is closed if anything has been sent on it and it has not ended otherwise. httpd.Abort and the end of Serve's context end it first. Without the latter, TestEndWithBusyConnections took 8.0 s for 16 connections, which lingered one after the other; it guards this change and could not fail before.

Ruled out: a slow end of a stop by connections with a stalled body, which wait in net/http for the rest: closing them wakes net/http, which closes them again, and that ends the linger (0.7 ms for 8).

--- a/httpd/abort.go
+++ b/httpd/abort.go
@@ -1,9 +1,6 @@
 package httpd
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
 // Abort resets the caller's connection, so that an incomplete response does not look
 // complete, even if the end of the connection delimits it. The handler must not use
@@ -13,16 +10,8 @@
 	if err != nil {
 		return err
 	}
-	underlying := conn
 	if caller, isCaller := conn.(*callerConn); isCaller {
-		underlying = caller.Conn
-	}
-	if tcp, isTCP := underlying.(*net.TCPConn); isTCP {
-		// Without lingering, closing a connection resets it.
-		if err := tcp.SetLinger(0); err != nil {
-			_ = conn.Close()
-			return err
-		}
+		return caller.abort()
 	}
 	return conn.Close()
 }
--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -44,7 +44,7 @@
 	onDisconnect context.CancelCauseFunc
 	closeCause   error
 
-	closing      bool
+	sent         bool
 	lingering    bool
 	handled      int
 	finished     int
@@ -176,6 +176,7 @@
 func (c *callerConn) Write(data []byte) (int, error) {
 	c.mutex.Lock()
 	closed := c.closeCause != nil
+	c.sent = true
 	c.mutex.Unlock()
 	if closed {
 		return 0, errClosed
@@ -221,10 +222,11 @@
 	c.changed.Broadcast()
 }
 
-// Close closes the connection and waits for the read loop to end.
+// Close closes the connection and waits for the read loop to end. It lingers behind what
+// has been sent, unless the connection has ended already.
 func (c *callerConn) Close() error {
 	c.mutex.Lock()
-	lingers := c.err == nil && c.closing
+	lingers := c.err == nil && c.sent
 	c.lingering = lingers
 	c.closeFor(ErrServerClosed)
 	c.mutex.Unlock()
@@ -261,19 +263,31 @@
 	c.end(errClosed)
 }
 
-// beginRequest records that a request is passed to the handler.
-func (c *callerConn) beginRequest() {
+// abort closes the connection so that it is reset.
+func (c *callerConn) abort() error {
+	c.endNow()
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
+		// Without lingering, closing a connection resets it.
+		if err := tcp.SetLinger(0); err != nil {
+			_ = c.Close()
+			return err
+		}
+	}
+	return c.Close()
+}
+
+// endNow ends the connection, which then doesn't linger when it is closed.
+func (c *callerConn) endNow() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.handled++
+	c.closeFor(ErrServerClosed)
 }
 
-// endRequest records that a request has been handled; closes is set if the connection is
-// closed behind the response.
-func (c *callerConn) endRequest(closes bool) {
+// beginRequest records that a request is passed to the handler.
+func (c *callerConn) beginRequest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.closing = closes
+	c.handled++
 }
 
 // bodyIncomplete reports whether the body of the request that is being handled has not
--- a/httpd/conns.go
+++ b/httpd/conns.go
@@ -80,6 +80,13 @@
 	return len(conns)
 }
 
+// endAll ends all connections without waiting for what they are doing.
+func (s *connSet) endAll() {
+	for _, conn := range s.list() {
+		conn.endNow()
+	}
+}
+
 // allLinger reports whether no connection has a response left to send.
 func (s *connSet) allLinger() bool {
 	for _, conn := range s.list() {
--- /dev/null
+++ b/httpd/reset_test.go
@@ -0,0 +1,119 @@
+package httpd_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"dandeliondoor/httpd"
+	"dandeliondoor/kernel"
+)
+
+// largeResponse is the size of a response that stays in buffers of the sockets while its
+// caller does not read, in bytes.
+const largeResponse = 256 << 10
+
+// largeRequest is answered with largeResponse bytes by startLargeServer.
+const largeRequest = "GET /large HTTP/1.1\r\nHost: souk.example\r\n\r\n"
+
+// startLargeServer starts a server that reports on a channel when it has written a large
+// response, and breaks off the response to /abort.
+func startLargeServer(t *testing.T) (server *httpd.Server, address string, written <-chan struct{}) {
+	t.Helper()
+	handled := make(chan struct{}, 1)
+	server, address = startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/large":
+			_, _ = w.Write(bytes.Repeat([]byte("x"), largeResponse))
+			handled <- struct{}{}
+		case "/abort":
+			w.Header().Set("Content-Length", "9")
+			_, _ = io.WriteString(w, "part")
+			panic(http.ErrAbortHandler)
+		}
+	})
+	return server, address, handled
+}
+
+// TestCloseBehindResponseOnItsWay closes connections in several ways while a response
+// before the close is still on its way, and sends more. It guards against a reset that
+// destroys this response.
+func TestCloseBehindResponseOnItsWay(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		sent string
+	}{
+		{name: "next response is broken off", sent: largeRequest + "GET /abort HTTP/1.1\r\nHost: souk.example\r\n\r\n"},
+		{name: "next request is malformed", sent: largeRequest + "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+		{name: "HTTP/1.0", sent: "GET /large HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			_, address, written := startLargeServer(t)
+			conn := dialSlowReader(t, address)
+			if _, err := io.WriteString(conn, test.sent); err != nil {
+				t.Fatal(err)
+			}
+			<-written
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.WriteString(conn, shortRequest)
+			time.Sleep(100 * time.Millisecond)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if count, err := io.Copy(io.Discard, response.Body); err != nil || count != largeResponse {
+				t.Errorf("read %d of %d bytes of the response: %v", count, largeResponse, err)
+			}
+		})
+	}
+}
+
+// TestEndWithBusyConnections ends a server while handlers are at work on connections that
+// have got responses before. It guards against a process that outlasts its time because
+// these connections linger one after the other.
+func TestEndWithBusyConnections(t *testing.T) {
+	t.Parallel()
+	const callers = 16
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	busy, release := make(chan struct{}, callers), make(chan struct{})
+	defer close(release)
+	server := httpd.NewServer(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			busy <- struct{}{}
+			<-release
+		}
+	}), httpd.WithReadAhead())
+	ctx, cancel := context.WithCancel(context.Background())
+	served := kernel.Run(ctx, server.Serve)
+	for range callers {
+		conn := dialServer(t, listener.Addr().String())
+		if _, err := io.WriteString(conn, shortRequest+"GET /busy HTTP/1.1\r\nHost: souk.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		readResponse(t, bufio.NewReader(conn))
+		<-busy
+	}
+	expired, expire := context.WithCancel(ctx)
+	expire()
+	if err := server.Shutdown(expired); err == nil {
+		t.Error("the shutdown ended without an error while requests were being handled")
+	}
+	began := time.Now()
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("the end took %s", took)
+	}
+}
--- a/httpd/response_writer.go
+++ b/httpd/response_writer.go
@@ -52,8 +52,3 @@
 		w.Header().Set("Connection", "close")
 	}
 }
-
-// closesConnection reports whether the connection is closed behind the response.
-func (w *responseWriter) closesConnection(r *http.Request) bool {
-	return r.Close || w.Header().Get("Connection") == "close"
-}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -90,9 +90,6 @@
 		if !tracked.wroteHeader {
 			tracked.setConnection()
 		}
-		if conn != nil {
-			conn.endRequest(tracked.closesConnection(r))
-		}
 	})
 }
 
@@ -100,7 +97,7 @@
 // call of Shutdown it returns when no connection is left. The end of the context aborts
 // requests in flight.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	stop := context.AfterFunc(ctx, s.abort)
 	defer stop()
 	err := s.server.Serve(s.listener)
 	close(s.accepted)
@@ -108,7 +105,7 @@
 		select {
 		case <-s.drained:
 		case <-ctx.Done():
-			_ = s.server.Close() // The AfterFunc may not have closed all connections yet.
+			s.abort() // The AfterFunc may not have closed all connections yet.
 		}
 		return nil
 	}
@@ -118,6 +115,13 @@
 	return errors.Wrap(err, "serve HTTP")
 }
 
+// abort closes all connections. It ends them first, so that they don't linger one after
+// the other.
+func (s *Server) abort() {
+	s.conns.endAll()
+	_ = s.server.Close()
+}
+
 // Shutdown accepts the connections that are pending and no further ones, closes each
 // connection that waits for a request, and the others after their responses. It returns
 // when none is left. When the context ends, it returns an error if a response has not been
