httpd: a shutdown waits for responses that are on their way

What callers saw: a response to a request that ran was cut short by a reset when a stop closed the connection right after the response had been written, before all of it had reached the caller, and the caller sent its next request.

Cause: a connection counted as waiting once the response had been written to the socket. It was closed then, without lingering. Only responses whose head was written before the stop began, so that they don't announce the end, and that end just before the shutdown are concerned.

Evidence: TestCloseBehindResponseOnItsWay/shutdown before: 'read 3964 of 262144 bytes of the response: connection reset by peer'; passes now.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -360,13 +360,20 @@
 }
 
 // closeWaiting closes the connection if it waits for a request. A new one is given some
-// time for its first request.
-func (c *callerConn) closeWaiting(now time.Time, newConnGrace time.Duration) {
+// time for its first request, and one with a response on its way for that.
+func (c *callerConn) closeWaiting(now time.Time, newConnGrace, deliveryGrace time.Duration) {
 	c.closeIf(func() error {
-		if !c.isWaiting() || (c.finished == 0 && now.Sub(c.waitingSince) < newConnGrace) {
+		waited := now.Sub(c.waitingSince)
+		switch {
+		case !c.isWaiting():
+			return nil
+		case c.finished == 0 && waited < newConnGrace:
 			return nil
+		case waited < deliveryGrace && !delivered(c.Conn):
+			return nil
+		default:
+			return ErrServerClosed
 		}
-		return ErrServerClosed
 	})
 }
 
--- a/httpd/receive.go
+++ b/httpd/receive.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // receive reads once from a connection and calls record with the result, both in one
@@ -78,3 +79,22 @@
 	}
 	return &net.OpError{Op: "read", Net: "tcp", Err: cause}
 }
+
+// delivered reports whether the other end of a connection has acknowledged all that was
+// sent. A connection without a socket, or one that is closed, counts as delivered.
+func delivered(conn net.Conn) bool {
+	syscallConn, hasSyscallConn := conn.(syscall.Conn)
+	if !hasSyscallConn {
+		return true
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var queued int
+	var queryErr error
+	err = rawConn.Control(func(descriptor uintptr) {
+		queued, queryErr = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+	})
+	return err != nil || queryErr != nil || queued == 0
+}
--- a/httpd/reset_test.go
+++ b/httpd/reset_test.go
@@ -48,19 +48,28 @@
 	for _, test := range []struct {
 		name string
 		sent string
+		end  func(ctx context.Context, server *httpd.Server) error
 	}{
 		{name: "next response is broken off", sent: largeRequest + "GET /abort HTTP/1.1\r\nHost: souk.example\r\n\r\n"},
 		{name: "next request is malformed", sent: largeRequest + "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
 		{name: "HTTP/1.0", sent: "GET /large HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"},
+		{name: "shutdown", sent: largeRequest, end: func(ctx context.Context, server *httpd.Server) error { return server.Shutdown(ctx) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			_, address, written := startLargeServer(t)
+			server, address, written := startLargeServer(t)
 			conn := dialSlowReader(t, address)
 			if _, err := io.WriteString(conn, test.sent); err != nil {
 				t.Fatal(err)
 			}
 			<-written
+			time.Sleep(50 * time.Millisecond)
+			ended := make(<-chan error)
+			if test.end != nil {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				ended = kernel.Run(ctx, func(ctx context.Context) error { return test.end(ctx, server) })
+			}
 			time.Sleep(200 * time.Millisecond)
 			_, _ = io.WriteString(conn, shortRequest)
 			time.Sleep(100 * time.Millisecond)
@@ -71,6 +80,12 @@
 			if count, err := io.Copy(io.Discard, response.Body); err != nil || count != largeResponse {
 				t.Errorf("read %d of %d bytes of the response: %v", count, largeResponse, err)
 			}
+			if test.end == nil {
+				return
+			}
+			if err := <-ended; err != nil {
+				t.Errorf("got %v at the end", err)
+			}
 		})
 	}
 }
