httpd: a response that is broken off ends its connection at once

What callers saw: a part of a response and then nothing, on a connection that stayed open, if the daemon broke the response off before the caller had sent all of its request; the caller waits until its own deadline.

Cause: after http.ErrAbortHandler, net/http reads the rest of the request body, up to 256 KB and without a time limit, before it closes the connection.

Evidence: TestAbortWithRestOfBody before: 'got "part" and i/o timeout' after 5 s; passes now.

Change: when a handler panics, reading the body fails at once. The ordinary end of a handler is unchanged: there a caller that still sends gets the time to read its response.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -276,6 +276,10 @@
 	return c.Close()
 }
 
+// stopBody ends the reading of a request body. When a handler panics, net/http would first
+// read the rest of the body, however long that takes, and then close the connection.
+func (c *callerConn) stopBody() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
 // endNow ends the connection, which then doesn't linger when it is closed.
 func (c *callerConn) endNow() {
 	c.mutex.Lock()
--- a/httpd/reset_test.go
+++ b/httpd/reset_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/httpd"
 	"dandeliondoor/kernel"
 )
@@ -34,6 +36,7 @@
 		case "/abort":
 			w.Header().Set("Content-Length", "9")
 			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
 	})
@@ -90,6 +93,26 @@
 	}
 }
 
+// TestAbortWithRestOfBody breaks off a response while the caller has sent a part of its
+// request. It guards against a connection that stays open until the rest has come, so
+// that the caller waits for the rest of the response.
+func TestAbortWithRestOfBody(t *testing.T) {
+	t.Parallel()
+	_, address, _ := startLargeServer(t)
+	conn := dialServer(t, address)
+	if _, err := io.WriteString(conn, "POST /abort HTTP/1.1\r\nHost: souk.example\r\nContent-Length: 1000\r\n\r\nlot"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %q and %v, want a response that is cut short", body, err)
+	}
+}
+
 // TestEndWithBusyConnections ends a server while handlers are at work on connections that
 // have got responses before. It guards against a process that outlasts its time because
 // these connections linger one after the other.
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -89,7 +89,14 @@
 			conn.beginRequest()
 		}
 		tracked := &responseWriter{ResponseWriter: w, conn: conn, closing: &s.closing}
+		completed := false
+		defer func() {
+			if conn != nil && !completed {
+				conn.stopBody()
+			}
+		}()
 		handler.ServeHTTP(tracked, r)
+		completed = true
 		if !tracked.wroteHeader {
 			tracked.setConnection()
 		}
