httpd: go on to accept callers after a lack of buffers or memory

What callers saw: no connection is accepted any more, while the daemon lives on and says that it is ready.

Cause: net/http accepts again after EMFILE and ENFILE, but ends with any other error of accept, also with ENOBUFS and ENOMEM, which a memory limit causes. The listener of the daemons among each other has been exempt from that, the callers' was not.

Evidence: TestAcceptExhausted before, cases "buffers" and "memory": 'connect: connection reset by peer'; "descriptors" passed. All pass now.

Change: errors of accept that pass, as kernel.Accept knows them, are marked temporary for net/http, which logs them and accepts again after a delay.

--- a/httpd/listener.go
+++ b/httpd/listener.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"dandeliondoor/kernel"
 )
 
 // callerListener wraps accepted connections in a callerConn. Once it is stopped, it
@@ -27,12 +29,31 @@
 	if l.stopped.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		conn, err = l.acceptPending()
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		return newCallerConn(time.Now(), conn, l.readAhead), nil
+	case kernel.Exhausted(err):
+		return nil, exhaustedError{err}
+	default:
 		return nil, err
 	}
-	return newCallerConn(time.Now(), conn, l.readAhead), nil
 }
 
+// exhaustedError is an error of accept after which net/http accepts again, with a delay.
+// By itself it does so for some of these errors only.
+type exhaustedError struct{ error }
+
+var _ net.Error = exhaustedError{}
+
+// Unwrap returns the error of accept.
+func (e exhaustedError) Unwrap() error { return e.error }
+
+// Timeout implements net.Error.
+func (e exhaustedError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (e exhaustedError) Temporary() bool { return true }
+
 // stop makes Accept return the connections that are pending, and then net.ErrClosed.
 func (l *callerListener) stop() error {
 	l.stopped.Store(true)
--- a/kernel/accept.go
+++ b/kernel/accept.go
@@ -28,7 +28,7 @@
 			return nil
 		case err == nil:
 			handlers.Go(func() { serve(ctx, conn) })
-		case exhausted(err):
+		case Exhausted(err):
 			pause(ctx, acceptRetryDelay)
 		default:
 			return errors.Wrap(err, "accept connection")
@@ -36,9 +36,9 @@
 	}
 }
 
-// exhausted reports whether a connection can be accepted later, when others have been
-// closed.
-func exhausted(err error) bool {
+// Exhausted reports whether an error of accept passes when others have released descriptors or
+// memory.
+func Exhausted(err error) bool {
 	for _, target := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
 		if errors.Is(err, target) {
 			return true
