httpd: the framing parser understands folded lengths

What callers saw: 400 to a proper request, or a connection that was closed behind its response in a stop without saying so, if the length of a body stood on a continued line ("Content-Length:" and the number on the next line), which net/http accepts. Such a connection was never taken for idle, either, and its heads were counted wrong.

Cause: the parser took the length of a line of its own only, and so the body for the heads of further requests. A body with a line "Transfer-Encoding" made the connection ambiguous.

Evidence, before: TestFoldedLength, the four folded forms: 'got status 400'; TestFoldedLengthIdle: 'the connection was not closed'. A length on one line, and a continued line of another header that looks like a length, passed. All pass now.

Change: a line that begins with a blank continues the header before it.

--- a/httpd/framing.go
+++ b/httpd/framing.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 )
 
@@ -19,8 +20,9 @@
 	inHead        bool
 	bodyRemaining int64
 	stopped       bool
-	length        int64
+	length        string
 	hasLength     bool
+	inLength      bool
 	hasEncoding   bool
 	ambiguous     atomic.Bool
 	chunked       atomic.Bool
@@ -68,19 +70,29 @@
 		f.inHead = false
 		return
 	}
-	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found {
+	if line[0] == ' ' || line[0] == '\t' {
+		f.continueHeader(line)
 		return
 	}
+	f.inLength = false
+	name, value, found := bytes.Cut(line, []byte(":"))
 	switch {
+	case !found:
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		f.hasLength = true
-		f.length, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		f.hasLength, f.inLength = true, true
+		f.length = string(bytes.TrimSpace(value))
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		f.hasEncoding = true
 	}
 }
 
+// continueHeader processes a line that continues the header before it.
+func (f *framingParser) continueHeader(line []byte) {
+	if f.inLength && len(f.length)+len(line) < maxParsedLine {
+		f.length = strings.TrimSpace(f.length + " " + string(bytes.TrimSpace(line)))
+	}
+}
+
 // endHead evaluates the headers of a request. After a chunked request parsing
 // stops, since chunks aren't parsed; the connection has to be closed after that
 // request.
@@ -93,8 +105,9 @@
 		f.stopped = true
 		return
 	}
-	f.bodyRemaining = f.length
-	f.length, f.hasLength = 0, false
+	// net/http rejects a request with a length that isn't valid.
+	f.bodyRemaining, _ = strconv.ParseInt(f.length, 10, 64)
+	f.length, f.hasLength, f.inLength = "", false, false
 }
 
 // betweenRequests reports whether the next byte would be the first of a request.
@@ -106,7 +119,7 @@
 func (f *framingParser) headsWith(data []byte) int {
 	ahead := framingParser{
 		line: bytes.Clone(f.line), hasLine: f.hasLine, heads: f.heads, bodyRemaining: f.bodyRemaining,
-		stopped: f.stopped, length: f.length, hasLength: f.hasLength, hasEncoding: f.hasEncoding,
+		stopped: f.stopped, length: f.length, hasLength: f.hasLength, inLength: f.inLength, hasEncoding: f.hasEncoding,
 	}
 	ahead.parse(data)
 	return ahead.heads
