httpd, front: trace requests that were read and not handled by their IDs

What could not be told: which requests were read from a connection that ended before they were handled. The line "connection ended with unhandled requests" had their number only, and that and the metric counted also what net/http had rejected with a response of its own, and requests behind a last response, which callers send again. So a request that ended without an answer could not be traced by its ID, and a count above zero did not mean a fault.

Change: the framing parser keeps the IDs of the last 16 heads that were not handled, at most 64 bytes of each. A response that is written while no request is being handled is one of net/http, to the next head. What is sent behind a last response has a cause of its own, in the log and in the metric.

--- a/front/service.go
+++ b/front/service.go
@@ -12,6 +12,7 @@
 
 	"dandeliondoor/httpd"
 	"dandeliondoor/kernel"
+	"dandeliondoor/proto"
 	"dandeliondoor/upconn"
 )
 
@@ -43,7 +44,7 @@
 func NewService(listener net.Listener, handler *Handler, log *logrus.Entry) *Service {
 	s := &Service{handler: handler, log: log}
 	s.server = httpd.NewServer(listener, http.HandlerFunc(s.serve),
-		httpd.WithReadAhead(), httpd.WithMaxHeaderBytes(maxHeaderBytes), httpd.WithUnhandled(s.recordUnhandled))
+		httpd.WithReadAhead(), httpd.WithMaxHeaderBytes(maxHeaderBytes), httpd.WithUnhandled(proto.HeaderRequestID, s.recordUnhandled))
 	return s
 }
 
@@ -89,9 +90,11 @@
 
 // recordUnhandled records requests that were read and got no response, because their
 // connection ended before they could be handled.
-func (s *Service) recordUnhandled(count int, cause error) {
-	s.handler.metrics.unhandled.WithLabelValues(cause.Error()).Add(float64(count))
-	s.log.WithField("requests", count).WithField("end", cause.Error()).Info("connection ended with unhandled requests")
+func (s *Service) recordUnhandled(unhandled httpd.Unhandled) {
+	cause := unhandled.Cause.Error()
+	s.handler.metrics.unhandled.WithLabelValues(cause).Add(float64(unhandled.Count))
+	s.log.WithField("requests", unhandled.Count).WithField("request_ids", unhandled.IDs).WithField("end", cause).
+		Info("connection ended with unhandled requests")
 }
 
 // Draining reports whether the balancer should stop sending requests.
--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -45,6 +45,8 @@
 	closeCause   error
 
 	sent         bool
+	rejected     bool
+	announced    bool
 	lingering    bool
 	handled      int
 	finished     int
@@ -53,8 +55,9 @@
 	idleLimit    time.Duration
 }
 
-func newCallerConn(now time.Time, conn net.Conn, readAhead bool) *callerConn {
+func newCallerConn(now time.Time, conn net.Conn, readAhead bool, idHeader string) *callerConn {
 	c := &callerConn{Conn: conn, waitingSince: now}
+	c.parser.idHeader = idHeader
 	c.changed = sync.NewCond(&c.mutex)
 	if readAhead {
 		c.readLoopDone = make(chan struct{})
@@ -177,6 +180,10 @@
 	c.mutex.Lock()
 	closed := c.closeCause != nil
 	c.sent = true
+	if c.handled == c.finished {
+		// No request is being handled: net/http rejects one.
+		c.rejected = true
+	}
 	c.mutex.Unlock()
 	if closed {
 		return 0, errClosed
@@ -292,6 +299,15 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.handled++
+	c.parser.forget(c.handled)
+}
+
+// endRequest records that a request has been handled; closes is set if the response says
+// that the connection is closed behind it.
+func (c *callerConn) endRequest(closes bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.announced = closes
 }
 
 // bodyIncomplete reports whether the body of the request that is being handled has not
@@ -314,7 +330,7 @@
 func (c *callerConn) hasNext() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.parser.headsWith(c.unread) > c.handled
+	return c.parser.with(c.unread).heads > c.handled
 }
 
 // finishResponse records that a response is complete. The idle limit in force at that
@@ -326,12 +342,22 @@
 	c.waitingSince, c.idleLimit = now, idleLimit
 }
 
-// unhandled returns how many requests of which the whole head has been read were never
-// passed to the handler, and why the connection ended.
-func (c *callerConn) unhandled() (int, error) {
+// unhandled returns the requests of which the whole head has been read and that were never
+// passed to the handler nor rejected, and why the connection ended.
+func (c *callerConn) unhandled() Unhandled {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return max(c.parser.headsWith(c.unread)-c.handled, 0), c.endCause()
+	answered := c.handled
+	if c.rejected {
+		answered++
+	}
+	ahead := c.parser.with(c.unread)
+	ahead.forget(answered)
+	cause := c.endCause()
+	if c.announced || c.rejected {
+		cause = ErrBehindLast
+	}
+	return Unhandled{Count: max(ahead.heads-answered, 0), IDs: ahead.ids, Cause: cause}
 }
 
 // isWaiting reports whether all requests have been answered and no byte of another one
--- a/httpd/conns.go
+++ b/httpd/conns.go
@@ -7,16 +7,24 @@
 	"time"
 )
 
+// Unhandled describes requests that were read from a connection and never passed to the
+// handler. IDs are those of the last of them. Cause is why the connection ended.
+type Unhandled struct {
+	Count int
+	IDs   []string
+	Cause error
+}
+
 // connSet is the set of a server's open connections.
 type connSet struct {
 	mutex       sync.Mutex
 	open        map[*callerConn]struct{}
 	idleLimit   time.Duration
-	onUnhandled func(count int, cause error)
+	onUnhandled func(Unhandled)
 }
 
 func newConnSet() *connSet {
-	return &connSet{open: make(map[*callerConn]struct{}), onUnhandled: func(int, error) {}}
+	return &connSet{open: make(map[*callerConn]struct{}), onUnhandled: func(Unhandled) {}}
 }
 
 // update implements the ConnState callback of http.Server.
@@ -33,8 +41,8 @@
 	case http.StateIdle:
 		caller.finishResponse(time.Now(), s.currentIdleLimit())
 	case http.StateClosed, http.StateHijacked:
-		if count, cause := caller.unhandled(); count > 0 {
-			s.onUnhandled(count, cause)
+		if unhandled := caller.unhandled(); unhandled.Count > 0 {
+			s.onUnhandled(unhandled)
 		}
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
--- a/httpd/errors.go
+++ b/httpd/errors.go
@@ -9,3 +9,7 @@
 	ErrIdle          = errors.New("connection was idle for too long")
 	ErrServerClosed  = errors.New("connection closed by this daemon")
 )
+
+// ErrBehindLast is why requests were not handled that were sent behind a response after
+// which the connection is closed. Callers send these again.
+var ErrBehindLast = errors.New("sent behind the last response of the connection")
--- a/httpd/framing.go
+++ b/httpd/framing.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -12,8 +13,11 @@
 // duplicates work of net/http, because net/http removes the Content-Length header
 // of a request that also has Transfer-Encoding and so hides the ambiguity. Heads counts
 // the heads that are complete; inHead is set within an incomplete one, hasLine once it has
-// a line that is not empty.
+// a line that is not empty. Ids are the values of idHeader in the last heads.
 type framingParser struct {
+	idHeader      string
+	id            string
+	ids           []string
 	line          []byte
 	hasLine       bool
 	heads         int
@@ -28,8 +32,13 @@
 	chunked       atomic.Bool
 }
 
-// maxParsedLine limits how much of a header line is parsed.
-const maxParsedLine = 256
+// Limits of what is kept of a head.
+const (
+	// maxParsedLine limits how much of a header line is parsed, in bytes.
+	maxParsedLine = 256
+	maxIDLength   = 64
+	maxIDs        = 16
+)
 
 // parse processes the next bytes that the caller sent.
 func (f *framingParser) parse(data []byte) {
@@ -83,6 +92,9 @@
 		f.length = string(bytes.TrimSpace(value))
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		f.hasEncoding = true
+	case f.idHeader != "" && bytes.EqualFold(name, []byte(f.idHeader)):
+		id := bytes.TrimSpace(value)
+		f.id = string(id[:min(len(id), maxIDLength)])
 	}
 }
 
@@ -99,6 +111,10 @@
 func (f *framingParser) endHead() {
 	f.heads++
 	f.inHead, f.hasLine = false, false
+	if f.ids = append(f.ids, f.id); len(f.ids) > maxIDs {
+		f.ids = f.ids[1:]
+	}
+	f.id = ""
 	if f.hasEncoding {
 		f.chunked.Store(true)
 		f.ambiguous.Store(f.hasLength)
@@ -115,14 +131,21 @@
 	return !f.inHead && f.bodyRemaining == 0 && !f.stopped
 }
 
-// headsWith returns how many heads there are once data has been parsed, too.
-func (f *framingParser) headsWith(data []byte) int {
-	ahead := framingParser{
+// with returns the state that the parser would have once data has been parsed, too.
+func (f *framingParser) with(data []byte) *framingParser {
+	ahead := &framingParser{
+		idHeader: f.idHeader, id: f.id, ids: slices.Clip(f.ids),
 		line: bytes.Clone(f.line), hasLine: f.hasLine, heads: f.heads, bodyRemaining: f.bodyRemaining,
 		stopped: f.stopped, length: f.length, hasLength: f.hasLength, inLength: f.inLength, hasEncoding: f.hasEncoding,
 	}
 	ahead.parse(data)
-	return ahead.heads
+	return ahead
+}
+
+// forget drops the IDs of all heads up to one with a number.
+func (f *framingParser) forget(number int) {
+	first := f.heads - len(f.ids) + 1
+	f.ids = f.ids[min(max(number+1-first, 0), len(f.ids)):]
 }
 
 // Framing describes how the length of a request body is given. Ambiguous is set
--- a/httpd/listener.go
+++ b/httpd/listener.go
@@ -20,6 +20,7 @@
 	net.Listener
 
 	readAhead bool
+	idHeader  string
 	stopped   atomic.Bool
 }
 
@@ -31,7 +32,7 @@
 	}
 	switch {
 	case err == nil:
-		return newCallerConn(time.Now(), conn, l.readAhead), nil
+		return newCallerConn(time.Now(), conn, l.readAhead, l.idHeader), nil
 	case kernel.Exhausted(err):
 		return nil, exhaustedError{err}
 	default:
--- a/httpd/response_writer.go
+++ b/httpd/response_writer.go
@@ -52,3 +52,9 @@
 		w.Header().Set("Connection", "close")
 	}
 }
+
+// closesConnection reports whether the response says that the connection is closed
+// behind it, or the request has demanded that.
+func (w *responseWriter) closesConnection(r *http.Request) bool {
+	return r.Close || w.Header().Get("Connection") == "close"
+}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -55,9 +55,13 @@
 }
 
 // WithUnhandled calls a function when a connection ends on which requests were read
-// that the handler never got.
-func WithUnhandled(onUnhandled func(count int, cause error)) Option {
-	return func(s *Server) { s.conns.onUnhandled = onUnhandled }
+// that the handler never got and that were not rejected, either. The header with the
+// given name has the ID of a request.
+func WithUnhandled(idHeader string, onUnhandled func(Unhandled)) Option {
+	return func(s *Server) {
+		s.listener.idHeader = idHeader
+		s.conns.onUnhandled = onUnhandled
+	}
 }
 
 // NewServer returns a server that takes ownership of the listener.
@@ -100,6 +104,9 @@
 		if !tracked.wroteHeader {
 			tracked.setConnection()
 		}
+		if conn != nil {
+			conn.endRequest(tracked.closesConnection(r))
+		}
 	})
 }
 
