entry: test that a stop answers pipelined requests that were read

The postmortem lists it as open that a response during a stop closes the connection also if another request has been read behind it. That is so no more: since the stop uses DisableKeepAlives of httpd, only the response to the last request that has been read closes it.

--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,10 +1,13 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -181,3 +184,46 @@
 		t.Error("the response doesn't close the connection")
 	}
 }
+
+// TestStopAnswersPipelined begins a stop while the first of several pipelined requests is
+// being handled. It guards against requests that have been read and are dropped because
+// the response before theirs closes the connection.
+func TestStopAnswersPipelined(t *testing.T) {
+	t.Parallel()
+	const requests = 3
+	running, release := make(chan struct{}, requests), make(chan struct{})
+	h := newHarness(t, newHandlerUpstream(t, func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-release
+	}))
+	conn, err := net.Dial("tcp", h.fleet.Daemons[0].Settings.Listen.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, strings.Repeat("POST /bales HTTP/1.1\r\nHost: souk.example\r\nContent-Length: 3\r\n\r\nlot", requests)); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.fleet.StopDaemon(ctx, h.fleet.Daemons[0]) }()
+	time.Sleep(300 * time.Millisecond)
+	close(release)
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	reader := bufio.NewReader(conn)
+	for i := range requests {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d was read and got no response: %v", i, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		if last := i == requests-1; response.StatusCode != http.StatusOK || response.Close != last {
+			t.Errorf("response %d: got status %d, Connection: close %t, want 200 and %t", i, response.StatusCode, response.Close, last)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stopping failed: %v", err)
+	}
+}
