--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -44,7 +44,9 @@
 	onDisconnect context.CancelCauseFunc
 	closeCause   error
 
-	closing      bool
+	sent         bool
+	rejected     bool
+	announced    bool
 	lingering    bool
 	handled      int
 	finished     int
@@ -53,8 +55,9 @@
 	idleLimit    time.Duration
 }
 
-func newCallerConn(now time.Time, conn net.Conn, readAhead bool) *callerConn {
+func newCallerConn(now time.Time, conn net.Conn, readAhead bool, idHeader string) *callerConn {
 	c := &callerConn{Conn: conn, waitingSince: now}
+	c.parser.idHeader = idHeader
 	c.changed = sync.NewCond(&c.mutex)
 	if readAhead {
 		c.readLoopDone = make(chan struct{})
@@ -176,6 +179,11 @@
 func (c *callerConn) Write(data []byte) (int, error) {
 	c.mutex.Lock()
 	closed := c.closeCause != nil
+	c.sent = true
+	if c.handled == c.finished {
+		// No request is being handled: net/http rejects one.
+		c.rejected = true
+	}
 	c.mutex.Unlock()
 	if closed {
 		return 0, errClosed
@@ -221,10 +229,11 @@
 	c.changed.Broadcast()
 }
 
-// Close closes the connection and waits for the read loop to end.
+// Close closes the connection and waits for the read loop to end. It lingers behind what
+// has been sent, unless the connection has ended already.
 func (c *callerConn) Close() error {
 	c.mutex.Lock()
-	lingers := c.err == nil && c.closing
+	lingers := c.err == nil && c.sent
 	c.lingering = lingers
 	c.closeFor(ErrServerClosed)
 	c.mutex.Unlock()
@@ -261,19 +270,44 @@
 	c.end(errClosed)
 }
 
+// abort closes the connection so that it is reset.
+func (c *callerConn) abort() error {
+	c.endNow()
+	if tcp, isTCP := c.Conn.(*net.TCPConn); isTCP {
+		// Without lingering, closing a connection resets it.
+		if err := tcp.SetLinger(0); err != nil {
+			_ = c.Close()
+			return err
+		}
+	}
+	return c.Close()
+}
+
+// stopBody ends the reading of a request body. When a handler panics, net/http would first
+// read the rest of the body, however long that takes, and then close the connection.
+func (c *callerConn) stopBody() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
+// endNow ends the connection, which then doesn't linger when it is closed.
+func (c *callerConn) endNow() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closeFor(ErrServerClosed)
+}
+
 // beginRequest records that a request is passed to the handler.
 func (c *callerConn) beginRequest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.handled++
+	c.parser.forget(c.handled)
 }
 
-// endRequest records that a request has been handled; closes is set if the connection is
-// closed behind the response.
+// endRequest records that a request has been handled; closes is set if the response says
+// that the connection is closed behind it.
 func (c *callerConn) endRequest(closes bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.closing = closes
+	c.announced = closes
 }
 
 // bodyIncomplete reports whether the body of the request that is being handled has not
@@ -296,7 +330,7 @@
 func (c *callerConn) hasNext() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.parser.headsWith(c.unread) > c.handled
+	return c.parser.with(c.unread).heads > c.handled
 }
 
 // finishResponse records that a response is complete. The idle limit in force at that
@@ -308,12 +342,22 @@
 	c.waitingSince, c.idleLimit = now, idleLimit
 }
 
-// unhandled returns how many requests of which the whole head has been read were never
-// passed to the handler, and why the connection ended.
-func (c *callerConn) unhandled() (int, error) {
+// unhandled returns the requests of which the whole head has been read and that were never
+// passed to the handler nor rejected, and why the connection ended.
+func (c *callerConn) unhandled() Unhandled {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return max(c.parser.headsWith(c.unread)-c.handled, 0), c.endCause()
+	answered := c.handled
+	if c.rejected {
+		answered++
+	}
+	ahead := c.parser.with(c.unread)
+	ahead.forget(answered)
+	cause := c.endCause()
+	if c.announced || c.rejected {
+		cause = ErrBehindLast
+	}
+	return Unhandled{Count: max(ahead.heads-answered, 0), IDs: ahead.ids, Cause: cause}
 }
 
 // isWaiting reports whether all requests have been answered and no byte of another one
@@ -346,13 +390,20 @@
 }
 
 // closeWaiting closes the connection if it waits for a request. A new one is given some
-// time for its first request.
-func (c *callerConn) closeWaiting(now time.Time, newConnGrace time.Duration) {
+// time for its first request, and one with a response on its way for that.
+func (c *callerConn) closeWaiting(now time.Time, newConnGrace, deliveryGrace time.Duration) {
 	c.closeIf(func() error {
-		if !c.isWaiting() || (c.finished == 0 && now.Sub(c.waitingSince) < newConnGrace) {
+		waited := now.Sub(c.waitingSince)
+		switch {
+		case !c.isWaiting():
+			return nil
+		case c.finished == 0 && waited < newConnGrace:
 			return nil
+		case waited < deliveryGrace && !delivered(c.Conn):
+			return nil
+		default:
+			return ErrServerClosed
 		}
-		return ErrServerClosed
 	})
 }
 
--- a/httpd/listener.go
+++ b/httpd/listener.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"dandeliondoor/kernel"
 )
 
 // pendingTimeout limits each wait for a connection that is pending while a listener is
@@ -25,6 +27,7 @@
 	net.Listener
 
 	readAhead bool
+	idHeader  string
 	stopped   atomic.Bool
 }
 
@@ -34,7 +37,9 @@
 		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil:
-			return newCallerConn(time.Now(), conn, l.readAhead), nil
+			return newCallerConn(time.Now(), conn, l.readAhead, l.idHeader), nil
+		case kernel.Exhausted(err):
+			return nil, exhaustedError{err}
 		case !l.stopped.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case !l.hasPending():
@@ -46,6 +51,21 @@
 	}
 }
 
+// exhaustedError is an error of accept after which net/http accepts again, with a delay.
+// By itself it does so for some of these errors only.
+type exhaustedError struct{ error }
+
+var _ net.Error = exhaustedError{}
+
+// Unwrap returns the error of accept.
+func (e exhaustedError) Unwrap() error { return e.error }
+
+// Timeout implements net.Error.
+func (e exhaustedError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (e exhaustedError) Temporary() bool { return true }
+
 // stop makes Accept return the connections that are pending, and then net.ErrClosed.
 func (l *callerListener) stop() error {
 	l.stopped.Store(true)
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -19,6 +19,9 @@
 	// newConnGrace is how long a new connection may take to bring its first request
 	// while the server shuts down.
 	newConnGrace = time.Second
+	// deliveryGrace is how long a response may be on its way to the caller before its
+	// connection is closed all the same.
+	deliveryGrace = 2 * time.Second
 )
 
 // Server serves HTTP requests on a listener with a handler.
@@ -52,9 +55,13 @@
 }
 
 // WithUnhandled calls a function when a connection ends on which requests were read
-// that the handler never got.
-func WithUnhandled(onUnhandled func(count int, cause error)) Option {
-	return func(s *Server) { s.conns.onUnhandled = onUnhandled }
+// that the handler never got and that were not rejected, either. The header with the
+// given name has the ID of a request.
+func WithUnhandled(idHeader string, onUnhandled func(Unhandled)) Option {
+	return func(s *Server) {
+		s.listener.idHeader = idHeader
+		s.conns.onUnhandled = onUnhandled
+	}
 }
 
 // NewServer returns a server that takes ownership of the listener.
@@ -86,7 +93,14 @@
 			conn.beginRequest()
 		}
 		tracked := &responseWriter{ResponseWriter: w, conn: conn, closing: &s.closing}
+		completed := false
+		defer func() {
+			if conn != nil && !completed {
+				conn.stopBody()
+			}
+		}()
 		handler.ServeHTTP(tracked, r)
+		completed = true
 		if !tracked.wroteHeader {
 			tracked.setConnection()
 		}
@@ -100,7 +114,7 @@
 // call of Shutdown it returns when no connection is left. The end of the context aborts
 // requests in flight.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	stop := context.AfterFunc(ctx, s.abort)
 	defer stop()
 	err := s.server.Serve(s.listener)
 	close(s.accepted)
@@ -108,7 +122,7 @@
 		select {
 		case <-s.drained:
 		case <-ctx.Done():
-			_ = s.server.Close() // The AfterFunc may not have closed all connections yet.
+			s.abort() // The AfterFunc may not have closed all connections yet.
 		}
 		return nil
 	}
@@ -118,6 +132,13 @@
 	return errors.Wrap(err, "serve HTTP")
 }
 
+// abort closes all connections. It ends them first, so that they don't linger one after
+// the other.
+func (s *Server) abort() {
+	s.conns.endAll()
+	_ = s.server.Close()
+}
+
 // Shutdown accepts the connections that are pending and no further ones, closes each
 // connection that waits for a request, and the others after their responses. It returns
 // when none is left. When the context ends, it returns an error if a response has not been
@@ -139,7 +160,7 @@
 	}
 	ticker := time.NewTicker(shutdownInterval)
 	defer ticker.Stop()
-	for s.conns.closeWaiting(time.Now(), newConnGrace) > 0 {
+	for s.conns.closeWaiting(time.Now(), newConnGrace, deliveryGrace) > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
