httpd: the framing of a request is not that of one behind it

What callers saw: requests that had been read were not handled, or were answered 400, if a request pipelined behind them was chunked or ambiguous: the response to the first of them closed the connection.

Change: parsing stops at a chunked request, so that it is the last one whose head has been counted; only that one, or one that net/http calls chunked, too, has this framing. So a request whose framing is ambiguous is still rejected if the parser and net/http should ever count differently.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -310,6 +310,18 @@
 	c.announced = closes
 }
 
+// framing returns the framing of the request that is being handled. Parsing stops at a
+// chunked request, so that is the last one whose head has been parsed. Of HTTP/1.0, net/http
+// does not call it chunked.
+func (c *callerConn) framing(chunked bool) Framing {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.parser.stopped || (!chunked && c.parser.heads > c.handled) {
+		return Framing{}
+	}
+	return Framing{Ambiguous: c.parser.ambiguous, Chunked: true}
+}
+
 // bodyIncomplete reports whether the body of the request that is being handled has not
 // been read to its end, or has no known end since it is chunked.
 func (c *callerConn) bodyIncomplete() bool {
--- a/httpd/framing.go
+++ b/httpd/framing.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 )
 
 // framingParser parses the framing headers of the requests on a connection. This
@@ -28,8 +27,7 @@
 	hasLength     bool
 	inLength      bool
 	hasEncoding   bool
-	ambiguous     atomic.Bool
-	chunked       atomic.Bool
+	ambiguous     bool
 }
 
 // Limits of what is kept of a head.
@@ -116,9 +114,7 @@
 	}
 	f.id = ""
 	if f.hasEncoding {
-		f.chunked.Store(true)
-		f.ambiguous.Store(f.hasLength)
-		f.stopped = true
+		f.ambiguous, f.stopped = f.hasLength, true
 		return
 	}
 	// net/http rejects a request with a length that isn't valid.
@@ -157,13 +153,11 @@
 }
 
 // FramingOf returns the framing of a request. The connection has to be closed
-// after a chunked request, since the framing of later requests isn't parsed. The
-// framing of a pipelined later request is returned if that one has been read from
-// the connection already and is chunked.
+// after a chunked request, since the framing of later requests isn't parsed.
 func FramingOf(r *http.Request) Framing {
 	conn := connOf(r.Context())
 	if conn == nil {
 		return Framing{}
 	}
-	return Framing{Ambiguous: conn.parser.ambiguous.Load(), Chunked: conn.parser.chunked.Load()}
+	return conn.framing(len(r.TransferEncoding) > 0)
 }
--- a/httpd/unhandled_test.go
+++ b/httpd/unhandled_test.go
@@ -72,6 +72,26 @@
 	return count, err
 }
 
+// startRecording starts a server that closes a channel when it has recorded a number of
+// bytes from its connection, and returns its address.
+func startRecording(t *testing.T, size int, recorded chan struct{}, handler http.HandlerFunc) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httpd.NewServer(recordListener{Listener: listener, size: size, recorded: recorded}, handler, httpd.WithReadAhead())
+	ctx, cancel := context.WithCancel(context.Background())
+	served := kernel.Run(ctx, server.Serve)
+	t.Cleanup(func() {
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String()
+}
+
 // TestUnhandled ends connections on which requests were read that the handler never got.
 // It guards against ends that can't be traced to their requests, and against counting
 // what net/http answered itself, or what was sent behind a last response.
