httpd: requests for the options of the server reach the handler

What callers saw: 'OPTIONS *' was answered 200 by net/http, without a server and its signature. After it, the connection's count of requests was wrong, so that no response announced the end of the connection in a stop.

Cause: net/http answers such a request with a handler of its own.

Evidence: TestOptionsOfServer before: 'got status 200, Connection: close false, want 404 and true'; passes now.

--- a/httpd/framing_test.go
+++ b/httpd/framing_test.go
@@ -66,3 +66,29 @@
 		})
 	}
 }
+
+// TestOptionsOfServer asks for the options of the server itself, twice. It guards against
+// a response of net/http without the handler, after which requests are counted wrong and
+// no response announces the end of the connection any more.
+func TestOptionsOfServer(t *testing.T) {
+	t.Parallel()
+	const options = "OPTIONS * HTTP/1.1\r\nHost: souk.example\r\n\r\n"
+	server, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	conn := dialServer(t, address)
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		if i == 1 {
+			server.DisableKeepAlives()
+		}
+		if _, err := io.WriteString(conn, options); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if last := i == 1; response.StatusCode != http.StatusNotFound || response.Close != last {
+			t.Errorf("got status %d, Connection: close %t, want 404 and %t", response.StatusCode, response.Close, last)
+		}
+	}
+}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -71,12 +71,13 @@
 		accepted: make(chan struct{}), drained: make(chan struct{}),
 	}
 	s.server = &http.Server{
-		Handler:           s.track(handler),
-		ConnContext:       withConn,
-		ConnState:         s.conns.update,
-		IdleTimeout:       defaultIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: defaultHeaderTimeout,
+		Handler:                      s.track(handler),
+		DisableGeneralOptionsHandler: true,
+		ConnContext:                  withConn,
+		ConnState:                    s.conns.update,
+		IdleTimeout:                  defaultIdleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
+		ReadHeaderTimeout:            defaultHeaderTimeout,
 	}
 	for _, option := range options {
 		option(s)
