front: an attempt that panics fails, and doesn't end the process

What callers saw: with a panic in the goroutine of an attempt the process ended, and with it the requests of all callers. None is known; the recovery in ServeHTTP does not reach other goroutines.

Cause: net/http recovers panics of handlers only.

Change: the attempt fails as one whose request may have run, its lease is released, the panic is logged and counted.

Ruled out: a recovery in each function that parses what servers send.

Evidence: TestHandlerPanics, case "in an attempt": the test's process ended with 'panic: report' before; 502 and one counted panic now.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -189,7 +189,7 @@
 	e.pending++
 	e.hedgeDelay = max(lease.Patience, minWait)
 	go func(results chan<- attemptResult) {
-		res := h.attempt(ctx, e, lease)
+		res := h.attemptRecovered(ctx, e, lease)
 		if res.response != nil && res.response.finish != nil {
 			// When the exchange ends, a response that was not forwarded is released.
 			context.AfterFunc(ctx, func() { res.response.finish(context.Cause(ctx)) })
@@ -198,6 +198,23 @@
 	}(e.results)
 }
 
+var errPanicked = errors.New("the attempt panicked")
+
+// attemptRecovered makes an attempt that fails if it panics: a panic in its goroutine would
+// end the process, with all requests on it.
+func (h *Handler) attemptRecovered(ctx context.Context, e *exchange, lease *slots.Lease) (res attemptResult) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		h.logPanic(e, cause)
+		h.release(lease, choose.Release{Outcome: choose.Cancelled}, proto.Report{Running: -1})
+		res = attemptResult{lease: lease, failed: true, failure: Unknown, outcome: choose.Cancelled, err: errPanicked}
+	}()
+	return h.attempt(ctx, e, lease)
+}
+
 func (h *Handler) recordFailure(e *exchange, res attemptResult) {
 	e.history.RecordFailure(res.failure)
 	h.metrics.attempts.WithLabelValues(outcomeNames[res.outcome]).Inc()
--- a/front/handler.go
+++ b/front/handler.go
@@ -110,9 +110,7 @@
 	if err, isErr := cause.(error); isErr && errors.Is(err, http.ErrAbortHandler) {
 		panic(http.ErrAbortHandler)
 	}
-	h.metrics.panics.Inc()
-	h.log.WithField("request_id", e.id).WithField("panic", fmt.Sprint(cause)).
-		WithField("stack", string(debug.Stack())).Error("handling a request panicked")
+	h.logPanic(e, cause)
 	if e.responded {
 		h.abort(w, e)
 		return
@@ -127,6 +125,13 @@
 	h.respondLocally(w, e, local)
 }
 
+// logPanic records a panic. It must be called while the goroutine panics.
+func (h *Handler) logPanic(e *exchange, cause any) {
+	h.metrics.panics.Inc()
+	h.log.WithField("request_id", e.id).WithField("panic", fmt.Sprint(cause)).
+		WithField("stack", string(debug.Stack())).Error("handling a request panicked")
+}
+
 // currentStop returns the schedule of the planned stop.
 func (h *Handler) currentStop() Stop {
 	if stop := h.stop.Load(); stop != nil {
--- a/front/panic_test.go
+++ b/front/panic_test.go
@@ -37,6 +37,16 @@
 	platform.Dialect
 
 	panics bool
+	// panicsInAttempt is set for a panic when the response of a server is parsed.
+	panicsInAttempt bool
+}
+
+// ParseReport implements proto.Dialect.
+func (d panicDialect) ParseReport(status int, header http.Header) proto.Report {
+	if d.panicsInAttempt {
+		panic("report")
+	}
+	return d.Dialect.ParseReport(status, header)
 }
 
 // Account implements proto.Dialect.
@@ -109,8 +119,9 @@
 	return 0
 }
 
-// TestHandlerPanics makes the handler panic before anything is written. Issue 27: the
-// connection was closed without a response.
+// TestHandlerPanics makes the handler, or the goroutine of an attempt, panic before
+// anything is written. Issue 27: the connection was closed without a response, or the
+// process ended with all connections.
 func TestHandlerPanics(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
@@ -123,6 +134,10 @@
 	}{
 		{name: "no panic", status: http.StatusOK, wantStatus: http.StatusOK, wantPanics: 0},
 		{name: "before it is sent", dialect: panicDialect{panics: true}, wantStatus: http.StatusInternalServerError, wantOutcome: "not-run", wantPanics: 1},
+		{
+			name: "in an attempt", dialect: panicDialect{panicsInAttempt: true}, status: http.StatusOK,
+			wantStatus: http.StatusBadGateway, wantOutcome: "unknown", wantPanics: 1,
+		},
 		{name: "after it has run", status: http.StatusAccepted, wantStatus: http.StatusBadGateway, wantOutcome: "unknown", wantPanics: 1},
 	} {
 		handler, registry := newPanicHandler(t, test.dialect, test.status)
