front: a part whose servers are all held costs no wait

What callers saw: with all servers of a service of 1,000 leaving but one, 13 of 50 requests were refused with no_server though that server was idle.

Cause: a service of that size has eight parts, each with its own broker, and a request that a part refuses for lack of a usable server slept 25 ms before it asked the next one. The wait of 100 ms ended before it came to the last part.

Ruled out: choosing the part by the servers that are left, which costs a hash of each server's ID for each request.

Change: after no_server a request goes to the next part at once, until each has been asked; the limit of the wait and the pause between asks count from there on.

Conclusion: one server that is left gets what it can take, whatever the size.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -131,29 +131,55 @@
 			h.startAttempt(ctx, e, lease)
 			return true
 		}
-		var unusable *slots.UnusableServerError
-		var refused *slots.RefusedError
-		switch {
-		case errors.As(err, &unusable):
-			e.history.tried = append(e.history.tried, unusable.Server)
-		case errors.As(err, &refused):
-			e.lastRefusal = refused.Refused
-			if refused.Reason == choose.ReasonNoServer {
-				e.lastRefusal.RetryAfter = max(refused.RetryAfter, h.nextServer(e.service))
-			}
-		}
-		if ctx.Err() != nil || slotRequests == maxSlotRequests || isFinal(refused) || (refused != nil && !time.Now().Before(waitUntil)) {
+		h.recordUnassigned(e, err)
+		delay, again := h.nextSlotRequest(e, err, slotRequests, waitUntil)
+		if !again || ctx.Err() != nil || slotRequests == maxSlotRequests {
 			return false
 		}
-		if unusable == nil {
-			sleep(ctx, slotRetryDelay)
+		if delay > 0 {
+			sleep(ctx, delay)
+		}
+	}
+}
+
+// recordUnassigned records why a slot request brought no server.
+func (h *Handler) recordUnassigned(e *exchange, err error) {
+	var unusable *slots.UnusableServerError
+	var refused *slots.RefusedError
+	switch {
+	case errors.As(err, &unusable):
+		e.history.tried = append(e.history.tried, unusable.Server)
+	case errors.As(err, &refused):
+		e.lastRefusal = refused.Refused
+		if refused.Reason == choose.ReasonNoServer {
+			e.lastRefusal.RetryAfter = max(refused.RetryAfter, h.nextServer(e.service))
 		}
 	}
 }
 
+// nextSlotRequest returns after which delay a slot request that failed may be repeated,
+// and false if it may not. A part without a usable server is no reason to wait: the next
+// request goes to another part.
+func (h *Handler) nextSlotRequest(e *exchange, err error, slotRequests int, waitUntil time.Time) (time.Duration, bool) {
+	var unusable *slots.UnusableServerError
+	var refused *slots.RefusedError
+	switch {
+	case errors.As(err, &unusable):
+		return 0, true
+	case !errors.As(err, &refused):
+		return slotRetryDelay, true
+	case isFinal(refused):
+		return 0, false
+	case refused.Reason == choose.ReasonNoServer && slotRequests < h.views.View().PartCount(e.service):
+		return 0, true
+	default:
+		return slotRetryDelay, time.Now().Before(waitUntil)
+	}
+}
+
 // isFinal reports whether repeating a refused slot request cannot succeed.
 func isFinal(refused *slots.RefusedError) bool {
-	return refused != nil && (refused.Reason == choose.ReasonBudget || refused.Reason == choose.ReasonCrashes)
+	return refused.Reason == choose.ReasonBudget || refused.Reason == choose.ReasonCrashes
 }
 
 // Limits of the wait for a server.
--- a/front/holds_test.go
+++ b/front/holds_test.go
@@ -60,34 +60,45 @@
 // heldFixture is a daemon with servers of one service, to each of which a request goes
 // once.
 type heldFixture struct {
-	caller  *httptest.Server
-	servers []*heldServer
-	count   int
+	caller *httptest.Server
+	count  int
 }
 
 func newHeldFixture(t *testing.T, servers ...*heldServer) *heldFixture {
 	t.Helper()
-	f := &heldFixture{servers: servers}
+	var entries []topo.Server
+	for i, server := range servers {
+		listener := httptest.NewServer(server)
+		t.Cleanup(listener.Close)
+		if server.unreachable {
+			listener.Close()
+		}
+		entries = append(entries, heldEntry(i, listener))
+	}
+	return newEntryFixture(t, slotWait, entries)
+}
+
+func heldEntry(index int, listener *httptest.Server) topo.Server {
+	address := netip.MustParseAddrPort(listener.Listener.Addr().String())
+	return topo.Server{ID: fmt.Sprintf("i-%d", index), Service: "souk", Address: address, Slots: 3, Born: 1}
+}
+
+// newEntryFixture is the same for the servers of a list. Requests wait for a server for
+// the given time.
+func newEntryFixture(t *testing.T, wait time.Duration, entries []topo.Server) *heldFixture {
+	t.Helper()
+	f := &heldFixture{}
 	view := &feed.View{
 		Table: topo.NewRouteTable(&topo.Config{Version: 1, Routes: []topo.Route{{
-			Name: "bales", Host: "souk.example", Prefix: "/bales/", Timeout: 20 * time.Second, Objective: 8 * slotWait, Attempts: 1,
+			Name: "bales", Host: "souk.example", Prefix: "/bales/", Timeout: 20 * time.Second, Objective: 8 * wait, Attempts: 1,
 			Targets: []topo.Target{{Service: "souk", Weight: 1}},
 		}}}),
 		Servers:  make(map[string]topo.Server),
-		Services: make(map[string][]topo.Server),
+		Services: map[string][]topo.Server{"souk": entries},
 		FreshAt:  time.Now(),
 	}
-	for i, server := range servers {
-		listener := httptest.NewServer(server)
-		t.Cleanup(listener.Close)
-		if server.unreachable {
-			listener.Close()
-		}
-		entry := topo.Server{
-			ID: fmt.Sprintf("i-%d", i), Service: "souk", Address: netip.MustParseAddrPort(listener.Listener.Addr().String()), Slots: 3, Born: 1,
-		}
+	for _, entry := range entries {
 		view.Servers[entry.ID] = entry
-		view.Services["souk"] = append(view.Services["souk"], entry)
 	}
 	limits := choose.RetryLimits{Ratio: 1, Window: time.Second, Slack: 1}
 	broker, fallback := slots.NewBroker(limits, 1), slots.NewFallback(limits, 1)
@@ -246,3 +257,42 @@
 		t.Errorf("status %d of a request for which the pause ends in time", response.status)
 	}
 }
+
+// TestLastServerOfParts guards against requests that are refused although a server of
+// another part wants them, since each part whose servers are all held took 25 ms.
+func TestLastServerOfParts(t *testing.T) {
+	t.Parallel()
+	const count, last = 1000, "i-500"
+	leaving, other := &heldServer{leaving: true}, &heldServer{}
+	listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderInstance) == last {
+			other.ServeHTTP(w, r)
+			return
+		}
+		leaving.ServeHTTP(w, r)
+	}))
+	t.Cleanup(listener.Close)
+	var entries []topo.Server
+	for i := range count {
+		entries = append(entries, heldEntry(i, listener))
+	}
+	f := newEntryFixture(t, 100*time.Millisecond, entries)
+	for leaving.arrivals.Load() < count-1 && f.count < 10*count {
+		f.send(t)
+	}
+	if arrivals := leaving.arrivals.Load(); arrivals != count-1 {
+		t.Fatalf("%d requests reached %d leaving servers", arrivals, count-1)
+	}
+	refused, slowest := 0, time.Duration(0)
+	for range 50 {
+		response := f.send(t)
+		slowest = max(slowest, response.took)
+		if response.status != http.StatusOK {
+			refused++
+		}
+	}
+	if refused > 0 || leaving.arrivals.Load() != count-1 {
+		t.Errorf("%d of 50 requests refused, %d reached leaving servers", refused, leaving.arrivals.Load()-count+1)
+	}
+	t.Logf("the slowest took %s", slowest)
+}
