--- a/choose/holds_bound_test.go
+++ b/choose/holds_bound_test.go
@@ -178,3 +178,54 @@
 		}
 	})
 }
+
+// TestFloorBesidePause guards against a sound server that gets no requests because it
+// turned one of many daemons away for a while: the other daemons must keep it in use,
+// although the servers of their own zone cost less.
+func TestFloorBesidePause(t *testing.T) {
+	t.Parallel()
+	const window = 2 * time.Second
+	for _, test := range []struct {
+		name    string
+		holding int
+		used    bool
+	}{
+		{name: "all daemons hold it", holding: 4},
+		{name: "none holds it", used: true},
+		{name: "one holds it", holding: 1, used: true},
+		{name: "three of four hold it", holding: 3, used: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			listed := servers(4)
+			listed[0].Zone = "mellah"
+			f := &poolFixture{pool: choose.NewPool(epoch, 1, limits), now: epoch}
+			f.pool.SetServers(epoch, listed)
+			lastUsed, longest := f.now, time.Duration(0)
+			for i := range 400 {
+				daemon := i % 4
+				granted, isGranted := f.ask(func(ask *choose.Ask) {
+					ask.Daemon, ask.Probe = fmt.Sprintf("front-%d", daemon), true
+					if daemon < test.holding {
+						ask.Exclude = []string{listed[0].ID}
+					}
+				}).(choose.Granted)
+				if !isGranted {
+					t.Fatal("no server")
+				}
+				f.now = f.now.Add(50 * time.Millisecond)
+				f.pool.Release(f.now, choose.Release{
+					Daemon: fmt.Sprintf("front-%d", daemon), Ticket: f.ticket, Server: granted.Server, Duration: 50 * time.Millisecond, Running: -1,
+				})
+				longest = max(longest, f.now.Sub(lastUsed))
+				if granted.Server == listed[0].ID {
+					lastUsed = f.now
+				}
+			}
+			if used := longest <= window; used != test.used {
+				t.Errorf("%s without a request, want at most %s: %t", longest, window, test.used)
+			}
+			t.Logf("%s without a request", longest)
+		})
+	}
+}
