--- a/httpd/response_writer.go
+++ b/httpd/response_writer.go
@@ -53,7 +53,8 @@
 	}
 }
 
-// closesConnection reports whether the connection is closed behind the response.
+// closesConnection reports whether the response says that the connection is closed
+// behind it, or the request has demanded that.
 func (w *responseWriter) closesConnection(r *http.Request) bool {
 	return r.Close || w.Header().Get("Connection") == "close"
 }
