--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -356,12 +356,12 @@
 	return c.parser.heads == c.handled && (c.parser.stopped || c.parser.bodyRemaining > int64(len(c.unread)))
 }
 
-// isLingering reports whether the last response has been sent, and the connection only
-// waits for the caller to close it.
-func (c *callerConn) isLingering() bool {
+// hasSentAll reports whether no response is left to be sent: the connection only waits for
+// the caller to close it, or has been closed while it waited for a request.
+func (c *callerConn) hasSentAll() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.lingering
+	return c.lingering || (c.closeCause != nil && c.parser.heads == c.finished)
 }
 
 // hasNext reports whether the whole head of a further request has been read.
--- a/httpd/conns.go
+++ b/httpd/conns.go
@@ -95,10 +95,10 @@
 	}
 }
 
-// allLinger reports whether no connection has a response left to send.
-func (s *connSet) allLinger() bool {
+// allSent reports whether no connection has a response left to send.
+func (s *connSet) allSent() bool {
 	for _, conn := range s.list() {
-		if !conn.isLingering() {
+		if !conn.hasSentAll() {
 			return false
 		}
 	}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -162,7 +162,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			if s.conns.allLinger() {
+			if s.conns.allSent() {
 				return nil
 			}
 			return errors.Wrap(ctx.Err(), "shut down HTTP server")
