front: an attempt asks right before it is sent whether its server wants it

Until the request is sent, calls to brokers (150 ms each) and a dial (300 ms) may pass, and the server's wish may come meanwhile in the response to another request. It was recorded when the attempt ended, which for a long body is long after its head.

Change: the wish is recorded when the head of the response is there. Between the connection and the send the attempt asks for the server's start; if it is held, the lease is released as cancelled and the request goes to another server: a hedge at once too, and a streamed body too, of which nothing has been read. It counts as not sent. While no server has asked for anything, the question is one atomic load. The daemons make no health checks of their own.

Ruled out: the same question before the dial alone, since the dial is the longer wait; a release to the broker at the head, since it ends the lease.

Evidence: TestHeldBeforeSend holds up the ask, as slow brokers do, while another response brings the wish; without the check all 10 cases (first attempt, open connection, streamed body, retry, hedge; leaving and pause) failed, the request reached the held server. Without the new hedge both hedge cases fail (504 after 10 s), without the retry of streamed bodies both of these (503). TestWishBeforeBody failed with the wish recorded at the release, as before: 'timed out waiting for the wish to be recorded'. front with -race, 3 runs: pass.

--- a/choose/holds.go
+++ b/choose/holds.go
@@ -99,3 +99,10 @@
 	}
 	return next
 }
+
+// Wish returns whether a start of a server is leaving, and for how long it wants no
+// requests of this daemon, 0 if it does not say.
+func (h *Holds) Wish(now time.Time, server topo.Server) (leaving bool, pause time.Duration) {
+	known := h.holds[holdKey{server: server.ID, born: server.Born}]
+	return known.leaving, max(known.pausedUntil.Sub(now), 0)
+}
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -24,12 +24,14 @@
 )
 
 // attemptResult is the result of an attempt: a response, or a failure, which has
-// a response if the server sent an error status.
+// a response if the server sent an error status. Withheld is set if the server was found
+// to want no requests, before any of the body was read.
 type attemptResult struct {
 	lease    *slots.Lease
 	response *serverResponse
 	failure  Failure
 	failed   bool
+	withheld bool
 	outcome  choose.Outcome
 	err      error
 	duration time.Duration
@@ -72,6 +74,11 @@
 		h.release(lease, choose.Release{Outcome: choose.Cancelled}, proto.Report{Running: -1})
 		return attemptResult{failed: true, failure: NotSent, outcome: choose.Cancelled, err: errStopping}
 	}
+	if h.held.isHeld(time.Now(), lease.Server) {
+		conn.Close()
+		h.release(lease, choose.Release{Outcome: choose.Cancelled}, proto.Report{Running: -1})
+		return attemptResult{failed: true, failure: NotSent, withheld: true, outcome: choose.Cancelled, err: errHeld}
+	}
 	sent := time.Now()
 	httpResponse, err := conn.Do(ctx, e.outgoing(h.dialect, lease.Server.ID, h.currentStop().ServerDeadline(e.deadline)))
 	if err != nil {
@@ -79,6 +86,7 @@
 		return h.connectionFailed(ctx, lease, err, time.Since(sent))
 	}
 	report := h.dialect.ParseReport(httpResponse.StatusCode, httpResponse.Header)
+	h.held.record(time.Now(), lease.Server, report, e.id)
 	return h.receive(ctx, lease, conn, httpResponse, report, sent)
 }
 
@@ -219,10 +227,9 @@
 }
 
 // release returns a lease with the end of its attempt and records whether the server
-// was reachable and what it asked for.
+// was reachable.
 func (h *Handler) release(lease *slots.Lease, release choose.Release, report proto.Report) {
 	h.recordReachability(lease.Server.ID, release.Outcome)
-	h.recordWishes(lease, report)
 	release.Running, release.Waiting, release.Leaving = report.Running, report.Waiting, report.Leaving
 	h.slots.Release(lease, release)
 }
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -90,7 +90,11 @@
 			if last.response == nil || res.response != nil {
 				last = res
 			}
-			if e.pending == 0 && ctx.Err() == nil && e.body.resendable() && e.history.MayRetry(res.failure) {
+			switch {
+			case ctx.Err() != nil:
+			case e.pending > 0 && res.withheld:
+				h.hedge(ctx, e)
+			case e.pending == 0 && (res.withheld || e.body.resendable()) && e.history.MayRetry(res.failure):
 				if h.beginAttempt(ctx, e) {
 					hedge.Reset(e.hedgeDelay)
 				}
--- a/front/handler.go
+++ b/front/handler.go
@@ -37,12 +37,12 @@
 
 	stop          atomic.Pointer[Stop]
 	interrupts    interrupts
+	held          *heldServers
 	answeredAtEnd atomic.Int64
 	abortedAtEnd  atomic.Int64
 
 	mutex        sync.Mutex
 	reachability *choose.PathTracker
-	holds        *choose.Holds
 }
 
 var _ http.Handler = &Handler{}
@@ -59,7 +59,7 @@
 		metrics:      newMetrics(registry),
 		log:          log,
 		reachability: choose.NewPathTracker(),
-		holds:        choose.NewHolds(),
+		held:         newHeldServers(log),
 	}
 	h.conns = upconn.NewPool(h.metrics.connections.Inc)
 	return h
@@ -372,39 +372,19 @@
 // that asked it for no further requests.
 func (h *Handler) avoidedServers() []string {
 	now := time.Now()
+	avoided := h.held.listed(now, h.views.View().Servers)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	avoided := h.holds.Held(now, h.views.View().Servers)
 	if h.reachability.Any() {
 		avoided = append(avoided, h.reachability.AvoidedUpstreams(now)...)
 	}
 	return avoided
 }
 
-// recordWishes records that a server is leaving, or wants no requests for a while.
-func (h *Handler) recordWishes(lease *slots.Lease, report proto.Report) {
-	if !report.Leaving && report.RetryAfter <= 0 {
-		return
-	}
-	now := time.Now()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if report.Leaving {
-		h.holds.Leave(now, lease.Server)
-	}
-	if report.RetryAfter > 0 {
-		h.holds.Pause(now, lease.Server, report.RetryAfter)
-	}
-	h.log.WithField("server", lease.Server.ID).WithField("leaving", report.Leaving).
-		WithField("retry_after", report.RetryAfter.String()).Debug("server wants no further requests")
-}
-
 // nextServer returns the time until a server of a service wants requests of this daemon
 // again, 0 if none keeps it away.
 func (h *Handler) nextServer(service string) time.Duration {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.holds.NextEnd(time.Now(), h.views.View().Services[service])
+	return h.held.nextEnd(time.Now(), h.views.View().Services[service])
 }
 
 // recordReachability records whether an attempt reached the server. Outcomes from
--- /dev/null
+++ b/front/holds.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"dandeliondoor/choose"
+	"dandeliondoor/proto"
+	"dandeliondoor/topo"
+)
+
+// errHeld is the cause of an attempt that isn't made because its server wants no further
+// requests.
+var errHeld = errors.New("server wants no further requests")
+
+// heldServers tracks the servers that want no further requests of this daemon. Recorded
+// is whether any server has asked for that.
+type heldServers struct {
+	log      *logrus.Entry
+	recorded atomic.Bool
+
+	mutex sync.Mutex
+	holds *choose.Holds
+}
+
+func newHeldServers(log *logrus.Entry) *heldServers {
+	return &heldServers{log: log, holds: choose.NewHolds()}
+}
+
+// record records what a server asks for in a response to the request with an ID.
+func (s *heldServers) record(now time.Time, server topo.Server, report proto.Report, requestID string) {
+	if !report.Leaving && report.RetryAfter <= 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if report.Leaving {
+		s.holds.Leave(now, server)
+	}
+	if report.RetryAfter > 0 {
+		s.holds.Pause(now, server, report.RetryAfter)
+	}
+	s.recorded.Store(true)
+	s.log.WithField("server", server.ID).WithField("leaving", report.Leaving).WithField("request_id", requestID).
+		WithField("retry_after", report.RetryAfter.String()).Debug("server wants no further requests")
+}
+
+// isHeld reports whether a start of a server wants no requests now.
+func (s *heldServers) isHeld(now time.Time, server topo.Server) bool {
+	if !s.recorded.Load() {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	leaving, pause := s.holds.Wish(now, server)
+	return leaving || pause > 0
+}
+
+// listed returns the listed servers that want no requests now.
+func (s *heldServers) listed(now time.Time, servers map[string]topo.Server) []string {
+	if !s.recorded.Load() {
+		return nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.holds.Held(now, servers)
+}
+
+// nextEnd returns the time until the first of the servers wants requests again, 0 if none
+// is paused.
+func (s *heldServers) nextEnd(now time.Time, servers []topo.Server) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.holds.NextEnd(now, servers)
+}
--- /dev/null
+++ b/front/holds_test.go
@@ -0,0 +1,412 @@
+package front_test
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"dandeliondoor/choose"
+	"dandeliondoor/feed"
+	"dandeliondoor/front"
+	"dandeliondoor/platform"
+	"dandeliondoor/proto"
+	"dandeliondoor/slots"
+	"dandeliondoor/topo"
+	"dandeliondoor/wire"
+)
+
+// holdTimeout bounds each wait for an event.
+const holdTimeout = 10 * time.Second
+
+// askMessage is logged when a slot is requested, after the servers to avoid were
+// determined and before one is granted.
+const askMessage = "no broker answered; using the local fallback"
+
+// askGate holds up requests for slots while it is closed, as slow brokers do.
+type askGate struct {
+	closed atomic.Bool
+	asks   chan chan struct{}
+}
+
+// Levels implements logrus.Hook.
+func (g *askGate) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (g *askGate) Fire(entry *logrus.Entry) error {
+	if entry.Message == askMessage && g.closed.Load() {
+		resume := make(chan struct{})
+		g.asks <- resume
+		<-resume
+	}
+	return nil
+}
+
+// movingViews is a source of a view that a test replaces.
+type movingViews struct{ view atomic.Pointer[feed.View] }
+
+// View implements slots.ViewSource.
+func (s *movingViews) View() *feed.View { return s.view.Load() }
+
+// Self implements slots.ViewSource.
+func (s *movingViews) Self() topo.Daemon { return topo.Daemon{Name: "front-0"} }
+
+// holdServer is a server that responds as its handler does, and records the IDs of the
+// requests that reached it.
+type holdServer struct {
+	topo.Server
+
+	mutex    sync.Mutex
+	handler  http.HandlerFunc
+	arrivals []string
+}
+
+func (s *holdServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(proto.HeaderRequestID)
+	s.mutex.Lock()
+	s.arrivals = append(s.arrivals, id)
+	handler := s.handler
+	s.mutex.Unlock()
+	w.Header().Set(proto.HeaderRequestID, id)
+	w.Header().Set(platform.HeaderSignature, "signed")
+	if handler != nil {
+		handler(w, r)
+	}
+}
+
+// respond sets the handler of further requests.
+func (s *holdServer) respond(handler http.HandlerFunc) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.handler = handler
+}
+
+// reached reports whether a request reached the server.
+func (s *holdServer) reached(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Contains(s.arrivals, id)
+}
+
+// holdFixture is a handler with an HTTP server before it.
+type holdFixture struct {
+	t        *testing.T
+	views    *movingViews
+	fallback *slots.Broker
+	gate     *askGate
+	registry *prometheus.Registry
+	logs     *logLines
+	client   *http.Client
+	address  string
+}
+
+func newHoldFixture(t *testing.T) *holdFixture {
+	t.Helper()
+	f := &holdFixture{
+		t: t, views: &movingViews{}, gate: &askGate{asks: make(chan chan struct{})},
+		registry: prometheus.NewRegistry(), logs: &logLines{}, client: &http.Client{Transport: &http.Transport{}},
+	}
+	t.Cleanup(f.client.CloseIdleConnections)
+	limits := choose.RetryLimits{Ratio: 1, Window: time.Second, Slack: 100}
+	f.fallback = slots.NewFallback(limits, 1)
+	f.show()
+	f.address = f.newHandler(f.registry)
+	return f
+}
+
+// newHandler starts a handler with the servers and the fallback broker of the fixture.
+func (f *holdFixture) newHandler(registry *prometheus.Registry) string {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetLevel(logrus.DebugLevel)
+	logger.AddHook(f.gate)
+	logger.AddHook(f.logs)
+	log := logrus.NewEntry(logger)
+	broker := slots.NewBroker(choose.RetryLimits{Ratio: 1, Window: time.Second, Slack: 100}, 1)
+	client := slots.NewClient(f.views, wire.NewPeers(&wire.Meter{}), broker, f.fallback, log)
+	handler := front.NewHandler(f.views, client, platform.Dialect{}, registry, log)
+	caller := httptest.NewServer(handler)
+	f.t.Cleanup(caller.Close)
+	return caller.URL
+}
+
+// server starts a server, which is not shown yet.
+func (f *holdFixture) server(id string) *holdServer {
+	s := &holdServer{Server: topo.Server{ID: id, Service: "souk", Slots: 100, Born: 1}}
+	listener := httptest.NewServer(s)
+	f.t.Cleanup(listener.Close)
+	s.Address = netip.MustParseAddrPort(listener.Listener.Addr().String())
+	return s
+}
+
+// show makes exactly some servers those of the service.
+func (f *holdFixture) show(servers ...*holdServer) {
+	souk := []topo.Target{{Service: "souk", Weight: 1}}
+	routes := []topo.Route{
+		{Name: "bales", Host: "souk.example", Prefix: "/bales/", Timeout: holdTimeout, Objective: time.Second, Attempts: 2, Targets: souk},
+		{Name: "lots", Host: "souk.example", Prefix: "/lots/", Timeout: holdTimeout, Objective: time.Second, Attempts: 2, Idempotent: true, Targets: souk},
+	}
+	view := &feed.View{
+		Table: topo.NewRouteTable(&topo.Config{Version: 1, Routes: routes}), Servers: make(map[string]topo.Server),
+		Services: make(map[string][]topo.Server), FreshAt: time.Now(),
+	}
+	for _, s := range servers {
+		view.Servers[s.ID] = s.Server
+		view.Services["souk"] = append(view.Services["souk"], s.Server)
+	}
+	f.views.view.Store(view)
+	f.fallback.SetView(time.Now(), view)
+}
+
+// send sends a request to a handler and returns the response with its body.
+func (f *holdFixture) send(address, method, path, id, body string) (*http.Response, string) {
+	f.t.Helper()
+	request, err := http.NewRequest(method, address+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Error(err)
+		return &http.Response{}, ""
+	}
+	request.Host = "souk.example"
+	request.Header.Set(proto.HeaderRequestID, id)
+	response, err := f.client.Do(request)
+	if err != nil {
+		f.t.Errorf("request %s: %v", id, err)
+		return &http.Response{}, ""
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Errorf("request %s: %v", id, err)
+	}
+	return response, string(text)
+}
+
+// nextAsk returns a function that resumes the next request for a slot.
+func (f *holdFixture) nextAsk() func() {
+	f.t.Helper()
+	select {
+	case resume := <-f.gate.asks:
+		return func() { close(resume) }
+	case <-time.After(holdTimeout):
+		f.t.Fatal("no slot was requested")
+		return nil
+	}
+}
+
+// eventually waits until a condition holds.
+func (f *holdFixture) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(holdTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("timed out waiting for %s", what)
+		}
+	}
+}
+
+// logLines records the lines that are logged.
+type logLines struct {
+	mutex   sync.Mutex
+	entries []logrus.Entry
+}
+
+// Levels implements logrus.Hook.
+func (l *logLines) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (l *logLines) Fire(entry *logrus.Entry) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.entries = append(l.entries, logrus.Entry{Message: entry.Message, Level: entry.Level, Data: maps.Clone(entry.Data)})
+	return nil
+}
+
+// find returns the lines with a message.
+func (l *logLines) find(message string) []logrus.Entry {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var found []logrus.Entry
+	for _, entry := range l.entries {
+		if entry.Message == message {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+// wish is how a server asks for no further requests. Endless means that the response does
+// not end, so that brokers don't know of it.
+type wish struct {
+	name    string
+	endless bool
+	respond http.HandlerFunc
+}
+
+var wishes = []wish{
+	{name: "leaving", endless: true, respond: func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.HeaderLeaving, "1")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}},
+	{name: "pause", respond: func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(platform.HeaderNotRun, "1")
+		w.Header().Set("Retry-After", "60")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}},
+}
+
+// hear sends a request and waits until the response with the wish of its server is known.
+func (f *holdFixture) hear(asked wish) {
+	f.t.Helper()
+	if !asked.endless {
+		f.send(f.address, http.MethodPost, "/bales/1", "r-asked", "")
+		return
+	}
+	request, err := http.NewRequest(http.MethodPost, f.address+"/bales/1", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = "souk.example"
+	request.Header.Set(proto.HeaderRequestID, "r-asked")
+	ctx, cancel := context.WithCancel(context.Background())
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if response, err := f.client.Do(request.WithContext(ctx)); err == nil {
+			response.Body.Close()
+		}
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-answered
+	})
+	f.eventually("the wish to be recorded", func() bool { return len(f.logs.find("server wants no further requests")) > 0 })
+}
+
+// TestHeldBeforeSend lets a server ask for no further requests while another request is
+// being granted a slot there. That request must go to another server instead, at once
+// and without use of an attempt, whichever of its attempts it is.
+func TestHeldBeforeSend(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name   string
+		method string
+		path   string
+		body   string
+		pooled bool
+		first  http.HandlerFunc
+	}{
+		{name: "first attempt", method: http.MethodPost, path: "/bales/1"},
+		{name: "open connection", method: http.MethodPost, path: "/bales/1", pooled: true},
+		{name: "streamed body", method: http.MethodPost, path: "/bales/1", body: strings.Repeat("x", 300<<10)},
+		{name: "retry", method: http.MethodGet, path: "/lots/1", first: func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		}},
+		{name: "hedge", method: http.MethodGet, path: "/lots/1", first: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
+	} {
+		for _, asked := range wishes {
+			t.Run(test.name+", "+asked.name, func(t *testing.T) {
+				t.Parallel()
+				f := newHoldFixture(t)
+				failing, held, other := f.server("i-failing"), f.server("i-held"), f.server("i-other")
+				failing.respond(test.first)
+				f.show(held)
+				if test.pooled {
+					f.send(f.address, http.MethodPost, "/bales/1", "r-warm", "")
+				}
+				f.gate.closed.Store(true)
+				answered := make(chan int, 1)
+				if test.first != nil {
+					f.show(failing)
+				}
+				go func() {
+					response, _ := f.send(f.address, test.method, test.path, "r-late", test.body)
+					answered <- response.StatusCode
+				}()
+				if test.first != nil {
+					f.nextAsk()()
+				}
+				resume := f.nextAsk()
+				f.gate.closed.Store(false)
+				f.show(held)
+				held.respond(asked.respond)
+				f.hear(asked)
+				held.respond(nil)
+				f.gate.closed.Store(true)
+				resume()
+				select {
+				case resume := <-f.gate.asks:
+					f.show(other)
+					f.gate.closed.Store(false)
+					close(resume)
+				case status := <-answered:
+					t.Fatalf("got status %d before another server was asked for; the request reached the held server: %t", status, held.reached("r-late"))
+				case <-time.After(holdTimeout):
+					t.Fatal("no other server was asked for")
+				}
+				if status := <-answered; status != http.StatusOK || !other.reached("r-late") || held.reached("r-late") {
+					t.Errorf("got status %d, reached the other server: %t, the held one: %t", status, other.reached("r-late"), held.reached("r-late"))
+				}
+			})
+		}
+	}
+}
+
+// TestWishBeforeBody lets a server announce in the head of a response that it leaves, and
+// send the body later. No further request may reach it meanwhile.
+func TestWishBeforeBody(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		size int
+	}{
+		{name: "short", size: 10},
+		{name: "streamed", size: 1 << 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newHoldFixture(t)
+			leaving := f.server("i-leaving")
+			f.show(leaving)
+			headSent, rest := make(chan struct{}), make(chan struct{})
+			sendRest := sync.OnceFunc(func() { close(rest) })
+			t.Cleanup(sendRest)
+			leaving.respond(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(platform.HeaderLeaving, "1")
+				_, _ = io.WriteString(w, strings.Repeat("x", test.size))
+				_ = http.NewResponseController(w).Flush()
+				close(headSent)
+				<-rest
+				_, _ = io.WriteString(w, "end")
+			})
+			answered := make(chan string, 1)
+			go func() {
+				_, body := f.send(f.address, http.MethodPost, "/bales/1", "r-first", "")
+				answered <- body
+			}()
+			<-headSent
+			f.eventually("the wish to be recorded", func() bool { return len(f.logs.find("server wants no further requests")) > 0 })
+			leaving.respond(nil)
+			if response, _ := f.send(f.address, http.MethodPost, "/bales/1", "r-later", ""); response.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("got status %d without a server", response.StatusCode)
+			}
+			if leaving.reached("r-later") {
+				t.Error("a request reached the leaving server")
+			}
+			sendRest()
+			if body := <-answered; len(body) != test.size+len("end") {
+				t.Errorf("got a body of %d bytes", len(body))
+			}
+		})
+	}
+}
