front: Server-Leaving counts in every response, also one that isn't passed on

Change: upconn calls back for each informational response; the daemon records what it says at once, and the release tells the broker, also when the connection fails later or the body breaks off.

Ruled out: waiting for the final response, in case that is a 421 of another server at the address: the entry that it would hold is out of use then, and the final response may take as long as the request may.

Evidence: TestWishOfEveryResponse failed before: after an informational response further requests reached the server from the daemon itself and from another one, after a broken body from the other one. Without the flag in responseCut, in connectionFailed or in the report of the final response it fails in 'ends in its body', 'informational, then an end' and 'informational'.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -80,16 +80,29 @@
 		return attemptResult{failed: true, failure: NotSent, withheld: true, outcome: choose.Cancelled, err: errHeld}
 	}
 	sent := time.Now()
-	httpResponse, err := conn.Do(ctx, e.outgoing(h.dialect, lease.Server.ID, h.currentStop().ServerDeadline(e.deadline)))
+	leaving := false
+	request := e.outgoing(h.dialect, lease.Server.ID, h.currentStop().ServerDeadline(e.deadline))
+	request.Informational = func(status int, header http.Header) {
+		leaving = h.parseReport(e, lease, status, header).Leaving || leaving
+	}
+	httpResponse, err := conn.Do(ctx, request)
 	if err != nil {
 		conn.Close()
-		return h.connectionFailed(ctx, lease, err, time.Since(sent))
+		return h.connectionFailed(ctx, lease, err, time.Since(sent), leaving)
 	}
-	report := h.dialect.ParseReport(httpResponse.StatusCode, httpResponse.Header)
-	h.held.record(time.Now(), lease.Server, report, e.id)
+	report := h.parseReport(e, lease, httpResponse.StatusCode, httpResponse.Header)
+	report.Leaving = report.Leaving || leaving
 	return h.receive(ctx, lease, conn, httpResponse, report, sent)
 }
 
+// parseReport returns the report in a response to an attempt, and records what the server
+// asks for.
+func (h *Handler) parseReport(e *exchange, lease *slots.Lease, status int, header http.Header) proto.Report {
+	report := h.dialect.ParseReport(status, header)
+	h.held.record(time.Now(), lease.Server, report, e.id)
+	return report
+}
+
 func dialOutcome(ctx context.Context) choose.Outcome {
 	if ctx.Err() != nil {
 		return choose.Cancelled
@@ -98,8 +111,11 @@
 }
 
 // connectionFailed releases the lease of an attempt whose connection failed before
-// the response was buffered, and classifies the failure.
-func (h *Handler) connectionFailed(ctx context.Context, lease *slots.Lease, err error, elapsed time.Duration) attemptResult {
+// the head of the response, and classifies the failure. Leaving is set if the server has
+// announced that it leaves.
+func (h *Handler) connectionFailed(
+	ctx context.Context, lease *slots.Lease, err error, elapsed time.Duration, leaving bool,
+) attemptResult {
 	res := attemptResult{failed: true, failure: Unknown, outcome: choose.ConnectionLost, err: err}
 	var connErr *upconn.ConnError
 	isConnErr := errors.As(err, &connErr)
@@ -111,13 +127,17 @@
 	case ctx.Err() != nil:
 		res.outcome = choose.Cancelled
 	}
-	h.release(lease, choose.Release{Outcome: res.outcome, Loss: lossOf(ctx, connErr), Duration: elapsed}, proto.Report{Running: -1})
+	release := choose.Release{Outcome: res.outcome, Loss: lossOf(ctx, connErr), Duration: elapsed}
+	h.release(lease, release, proto.Report{Leaving: leaving, Running: -1})
 	return res
 }
 
 // responseCut releases the lease of an attempt whose response broke off after its head.
-// The server may have ended, or may just respond badly.
-func (h *Handler) responseCut(ctx context.Context, lease *slots.Lease, err error, elapsed time.Duration) attemptResult {
+// The server may have ended, or may just respond badly. Leaving is set if it has announced
+// that it leaves.
+func (h *Handler) responseCut(
+	ctx context.Context, lease *slots.Lease, err error, elapsed time.Duration, leaving bool,
+) attemptResult {
 	res := attemptResult{failed: true, failure: Unknown, outcome: choose.ConnectionLost, err: err}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -125,7 +145,8 @@
 	case ctx.Err() != nil:
 		res.outcome = choose.Cancelled
 	}
-	h.release(lease, choose.Release{Outcome: res.outcome, Loss: choose.LossSilent, Duration: elapsed}, proto.Report{Running: -1})
+	release := choose.Release{Outcome: res.outcome, Loss: choose.LossSilent, Duration: elapsed}
+	h.release(lease, release, proto.Report{Leaving: leaving, Running: -1})
 	return res
 }
 
@@ -155,7 +176,7 @@
 	resp.buffered = buffered
 	if err != nil {
 		conn.Close()
-		return h.responseCut(ctx, lease, err, time.Since(sent))
+		return h.responseCut(ctx, lease, err, time.Since(sent), report.Leaving)
 	}
 	res := classify(resp, report)
 	if len(buffered) < maxBuffered {
--- a/front/holds_test.go
+++ b/front/holds_test.go
@@ -410,3 +410,71 @@
 		})
 	}
 }
+
+// TestWishOfEveryResponse lets a server announce that it leaves in responses that aren't
+// passed on whole. No further request of this daemon may reach it, nor of another one,
+// which knows it from the broker.
+func TestWishOfEveryResponse(t *testing.T) {
+	t.Parallel()
+	leaving := platform.HeaderLeaving + ": 1\r\n"
+	for _, test := range []struct {
+		name   string
+		text   string
+		status int
+		held   bool
+	}{
+		{name: "informational", text: "HTTP/1.1 103 Early Hints\r\n" + leaving + "\r\nHTTP/1.1 200 OK\r\nHEAD\r\nContent-Length: 0\r\n\r\n", status: 200, held: true},
+		{name: "informational, then an end", text: "HTTP/1.1 103 Early Hints\r\n" + leaving + "\r\n", status: 502, held: true},
+		{name: "informational, then a misdirected request", text: "HTTP/1.1 103 Early Hints\r\n" + leaving + "\r\nHTTP/1.1 421 Misdirected Request\r\nHEAD\r\nContent-Length: 0\r\n\r\n", status: 503, held: true},
+		{name: "informational without it", text: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nHEAD\r\nContent-Length: 0\r\n\r\n", status: 200},
+		{name: "ends in its body", text: "HTTP/1.1 200 OK\r\nHEAD\r\n" + leaving + "Content-Length: 9\r\n\r\nlot", status: 502, held: true},
+		{name: "ends in its long body", text: "HTTP/1.1 200 OK\r\nHEAD\r\n" + leaving + "Content-Length: 999999\r\n\r\n" + strings.Repeat("x", 300<<10), held: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newHoldFixture(t)
+			server := f.server("i-1")
+			f.show(server)
+			server.respond(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				head := proto.HeaderRequestID + ": " + r.Header.Get(proto.HeaderRequestID) + "\r\n" + platform.HeaderSignature + ": signed\r\n"
+				_, _ = io.WriteString(conn, strings.Replace(test.text, "HEAD\r\n", head, 1))
+			})
+			if status := f.status("r-first"); status != test.status {
+				t.Errorf("got status %d, want %d", status, test.status)
+			}
+			server.respond(nil)
+			for _, address := range []string{f.address, f.newHandler(prometheus.NewRegistry())} {
+				f.address = address
+				f.status("r-later")
+				if server.reached("r-later") == test.held {
+					t.Errorf("a further request reached the server: %t, want %t", test.held, !test.held)
+				}
+			}
+		})
+	}
+}
+
+// status sends a request and returns the status of the response, 0 if it breaks off.
+func (f *holdFixture) status(id string) int {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, f.address+"/bales/1", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = "souk.example"
+	request.Header.Set(proto.HeaderRequestID, id)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -49,7 +49,8 @@
 // framing headers, which are derived from Length. A negative Length selects
 // chunked encoding. Matches reports whether a response with the given header
 // belongs to this request; first is set for the first response on the connection, which
-// cannot belong to an earlier request.
+// cannot belong to an earlier request. Informational, if set, is called for each
+// informational (1xx) response before the final one, by the goroutine that calls Do.
 type Request struct {
 	Method  string
 	Target  string
@@ -58,6 +59,8 @@
 	Body    io.Reader
 	Length  int64
 	Matches func(header http.Header, first bool) bool
+
+	Informational func(status int, header http.Header)
 }
 
 // Conn is a connection to an upstream.
@@ -193,6 +196,9 @@
 			if interim++; interim > maxInterim {
 				return nil, errInterim
 			}
+			if request.Informational != nil {
+				request.Informational(response.StatusCode, response.Header)
+			}
 		case request.Matches(response.Header, c.requests == 1 && unmatched == 0):
 			c.received.unlimit()
 			return response, nil
