platform, front: unusable values of Server-Leaving and Retry-After are logged

Change: platform names the problem in a field of proto.Report for each header; front counts it and logs one line per response with server and request_id, at level info at most once a second for each daemon and otherwise at debug, since a faulty server may send such a value with each response and the log drops lines above 200 a second.

--- a/front/handler.go
+++ b/front/handler.go
@@ -59,8 +59,8 @@
 		metrics:      newMetrics(registry),
 		log:          log,
 		reachability: choose.NewPathTracker(),
-		held:         newHeldServers(log),
 	}
+	h.held = newHeldServers(h.metrics, log)
 	h.conns = upconn.NewPool(h.metrics.connections.Inc)
 	return h
 }
--- a/front/holds.go
+++ b/front/holds.go
@@ -17,22 +17,39 @@
 // requests.
 var errHeld = errors.New("server wants no further requests")
 
+// problemLogInterval is the minimum time between two lines about unusable values that are
+// not at level debug.
+const problemLogInterval = time.Second
+
+// holdKind is what a server that wants no further requests asks for.
+type holdKind string
+
+const (
+	holdLeaving holdKind = "leaving"
+	holdPause   holdKind = "pause"
+)
+
 // heldServers tracks the servers that want no further requests of this daemon. Recorded
 // is whether any server has asked for that.
 type heldServers struct {
+	metrics  *metrics
 	log      *logrus.Entry
 	recorded atomic.Bool
 
-	mutex sync.Mutex
-	holds *choose.Holds
+	mutex           sync.Mutex
+	holds           *choose.Holds
+	problemLoggedAt time.Time
 }
 
-func newHeldServers(log *logrus.Entry) *heldServers {
-	return &heldServers{log: log, holds: choose.NewHolds()}
+func newHeldServers(metrics *metrics, log *logrus.Entry) *heldServers {
+	return &heldServers{metrics: metrics, log: log, holds: choose.NewHolds()}
 }
 
 // record records what a server asks for in a response to the request with an ID.
 func (s *heldServers) record(now time.Time, server topo.Server, report proto.Report, requestID string) {
+	if report.LeavingProblem != proto.ProblemNone || report.RetryAfterProblem != proto.ProblemNone {
+		s.recordProblems(now, server, report, requestID)
+	}
 	if !report.Leaving && report.RetryAfter <= 0 {
 		return
 	}
@@ -49,6 +66,35 @@
 		WithField("retry_after", report.RetryAfter.String()).Debug("server wants no further requests")
 }
 
+// recordProblems records that a server sent values that were ignored or bounded.
+func (s *heldServers) recordProblems(now time.Time, server topo.Server, report proto.Report, requestID string) {
+	log := s.log.WithField("server", server.ID).WithField("request_id", requestID)
+	if report.LeavingProblem != proto.ProblemNone {
+		s.metrics.unusable.WithLabelValues(string(holdLeaving), string(report.LeavingProblem)).Inc()
+		log = log.WithField("leaving_problem", string(report.LeavingProblem))
+	}
+	if report.RetryAfterProblem != proto.ProblemNone {
+		s.metrics.unusable.WithLabelValues(string(holdPause), string(report.RetryAfterProblem)).Inc()
+		log = log.WithField("pause_problem", string(report.RetryAfterProblem)).WithField("pause", report.RetryAfter.String())
+	}
+	level := logrus.DebugLevel
+	if s.mayLogProblem(now) {
+		level = logrus.InfoLevel
+	}
+	log.Log(level, "server sent an unusable value")
+}
+
+// mayLogProblem reports whether the last line about an unusable value was long enough ago.
+func (s *heldServers) mayLogProblem(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if now.Sub(s.problemLoggedAt) < problemLogInterval {
+		return false
+	}
+	s.problemLoggedAt = now
+	return true
+}
+
 // isHeld reports whether a start of a server wants no requests now.
 func (s *heldServers) isHeld(now time.Time, server topo.Server) bool {
 	if !s.recorded.Load() {
--- a/front/holds_test.go
+++ b/front/holds_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -478,3 +479,71 @@
 	}
 	return response.StatusCode
 }
+
+// TestUnusableWishes checks that values which cannot be used are logged, one line per
+// response and at most one a second above level debug, and counted.
+func TestUnusableWishes(t *testing.T) {
+	t.Parallel()
+	f := newHoldFixture(t)
+	server := f.server("i-1")
+	f.show(server)
+	server.respond(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(platform.HeaderLeaving, "yes")
+		w.Header().Set(platform.HeaderNotRun, "1")
+		w.Header().Set("Retry-After", "-5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	start := time.Now()
+	const requests = 20
+	for i := range requests {
+		f.status("r-" + strconv.Itoa(i))
+	}
+	elapsed := time.Since(start)
+	lines, info := f.logs.find("server sent an unusable value"), 0
+	for _, line := range lines {
+		if line.Level == logrus.InfoLevel {
+			info++
+		}
+		if line.Data["server"] != "i-1" || line.Data["leaving_problem"] != "unknown_value" || line.Data["pause_problem"] != "negative" {
+			t.Errorf("got fields %v", line.Data)
+		}
+	}
+	if len(lines) == 0 || lines[0].Data["request_id"] != "r-0" || lines[0].Level != logrus.InfoLevel {
+		t.Fatalf("got lines %v", lines)
+	}
+	if most := 1 + int(elapsed/time.Second); info > most {
+		t.Errorf("got %d lines in %s, want at most %d", info, elapsed, most)
+	}
+	for kind, reason := range map[string]string{"leaving": "unknown_value", "pause": "negative"} {
+		got := f.value("dandeliondoor_front_unusable_values_total", kind, reason)
+		if got != float64(len(lines)) {
+			t.Errorf("counted %v unusable values of kind %s, want %d", got, kind, len(lines))
+		}
+	}
+}
+
+// value returns the value of a metric with some label values, 0 if there is none.
+func (f *holdFixture) value(name string, labels ...string) float64 {
+	f.t.Helper()
+	families, err := f.registry.Gather()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			matching := 0
+			for _, pair := range metric.GetLabel() {
+				if slices.Contains(labels, pair.GetValue()) {
+					matching++
+				}
+			}
+			if matching == len(labels) {
+				return metric.GetCounter().GetValue() + metric.GetGauge().GetValue()
+			}
+		}
+	}
+	return 0
+}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -19,6 +19,7 @@
 	unhandled      *prometheus.CounterVec
 	panics         prometheus.Counter
 	ended          *prometheus.CounterVec
+	unusable       *prometheus.CounterVec
 }
 
 // The histogram buckets of the response time, in seconds: 5 ms to 10 s.
@@ -69,9 +70,19 @@
 		Help: "Requests that ended without a complete response, by cause.",
 	}, []string{"cause"})
 	registry.MustRegister(m.responses, m.attempts, m.connections, m.durations, m.hedges, m.localResponses, m.unhandled, m.panics, m.ended)
+	m.registerHolds(registry)
 	return m
 }
 
+// registerHolds creates and registers the metrics of servers that want no further requests.
+func (m *metrics) registerHolds(registry prometheus.Registerer) {
+	m.unusable = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "dandeliondoor_front_unusable_values_total",
+		Help: "Values with which a server asked for no further requests that were ignored or bounded, by kind and reason.",
+	}, []string{"kind", "reason"})
+	registry.MustRegister(m.unusable)
+}
+
 func statusClass(status int) string { return strconv.Itoa(status/100) + "xx" }
 
 // contentLength returns the Content-Length of a response: the length that the
--- a/proto/dialect.go
+++ b/proto/dialect.go
@@ -31,7 +31,7 @@
 // the address. Running and Waiting are the numbers of requests that run and wait on
 // the upstream, or negative if the response does not contain them. Leaving means that the
 // upstream wants no further requests, and RetryAfter for how long it wants none from
-// this daemon.
+// this daemon; the problems say what was wrong with the values of these headers.
 type Report struct {
 	Signed      bool
 	NotRun      bool
@@ -40,4 +40,22 @@
 	RetryAfter  time.Duration
 	Running     int
 	Waiting     int
+
+	LeavingProblem    ValueProblem
+	RetryAfterProblem ValueProblem
 }
+
+// ValueProblem is why the value of a header was ignored or bounded.
+type ValueProblem string
+
+// Values of ValueProblem. Endless and overlong periods are bounded, other values ignored.
+const (
+	ProblemNone       ValueProblem = ""
+	ProblemEndless    ValueProblem = "endless"
+	ProblemMalformed  ValueProblem = "malformed"
+	ProblemNegative   ValueProblem = "negative"
+	ProblemNoDate     ValueProblem = "no_date"
+	ProblemNotANumber ValueProblem = "not_a_number"
+	ProblemTooLong    ValueProblem = "too_long"
+	ProblemUnknown    ValueProblem = "unknown_value"
+)
