--- a/front/handler.go
+++ b/front/handler.go
@@ -23,7 +23,6 @@
 	"dandeliondoor/httpd"
 	"dandeliondoor/proto"
 	"dandeliondoor/slots"
-	"dandeliondoor/topo"
 	"dandeliondoor/upconn"
 )
 
@@ -39,12 +38,12 @@
 
 	stop          atomic.Pointer[Stop]
 	interrupts    interrupts
+	held          *heldServers
 	answeredAtEnd atomic.Int64
 	abortedAtEnd  atomic.Int64
 
 	mutex        sync.Mutex
 	reachability *choose.PathTracker
-	holds        *choose.Holds
 }
 
 var _ http.Handler = &Handler{}
@@ -61,8 +60,8 @@
 		metrics:      newMetrics(registry),
 		log:          log,
 		reachability: choose.NewPathTracker(),
-		holds:        choose.NewHolds(),
 	}
+	h.held = newHeldServers(h.metrics, log)
 	h.conns = upconn.NewPool(h.metrics.connections.Inc)
 	return h
 }
@@ -379,40 +378,15 @@
 // of a service that asked it for no further requests.
 func (h *Handler) avoidedServers(service string) []string {
 	now := time.Now()
+	avoided := h.held.of(now, h.views.View().Services[service])
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	avoided := h.holds.Held(now, h.views.View().Services[service])
 	if h.reachability.Any() {
 		avoided = append(avoided, h.reachability.AvoidedUpstreams(now)...)
 	}
 	return avoided
 }
 
-// recordWishes records that a server is leaving, or wants no requests for a while.
-func (h *Handler) recordWishes(lease *slots.Lease, report proto.Report) {
-	if !report.Leaving && report.RetryAfter <= 0 {
-		return
-	}
-	now := time.Now()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if report.Leaving {
-		h.holds.Leave(now, lease.Server)
-	}
-	if report.RetryAfter > 0 {
-		h.holds.Pause(now, lease.Server, report.RetryAfter)
-	}
-	h.log.WithField("server", lease.Server.ID).WithField("leaving", report.Leaving).
-		WithField("retry_after", report.RetryAfter.String()).Debug("server wants no further requests")
-}
-
-// sweepHolds drops what servers that are gone asked for.
-func (h *Handler) sweepHolds(now time.Time, listed map[string]topo.Server) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.holds.Sweep(now, listed)
-}
-
 // allHeld reports whether no server can take a request until a time, because servers
 // want no requests of this daemon, and the request has been sent to the others or they
 // can't be reached.
@@ -420,14 +394,12 @@
 	if until.Before(now) {
 		until = now
 	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
 	held := false
 	for _, server := range h.views.View().Services[e.service] {
 		switch {
-		case h.holds.HeldAt(until, server):
+		case h.held.isHeld(until, server):
 			held = true
-		case server.Draining, slices.Contains(e.history.tried, server.ID), h.reachability.ShouldAvoid(until, server.ID):
+		case server.Draining, slices.Contains(e.history.tried, server.ID), h.isUnreachable(until, server.ID):
 		default:
 			return false
 		}
@@ -435,12 +407,16 @@
 	return held
 }
 
+func (h *Handler) isUnreachable(now time.Time, server string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.reachability.ShouldAvoid(now, server)
+}
+
 // nextServer returns the time until the first server of a service wants requests of this
 // daemon again, 0 if one does now or all are leaving.
 func (h *Handler) nextServer(service string) time.Duration {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.holds.NextEnd(time.Now(), h.views.View().Services[service])
+	return h.held.nextEnd(time.Now(), h.views.View().Services[service])
 }
 
 // recordReachability records whether an attempt reached the server. Outcomes from
--- a/front/service.go
+++ b/front/service.go
@@ -81,7 +81,7 @@
 				limits = httpd.Limits{HeaderTimeout: configured.HeaderTimeout, IdleTimeout: configured.IdleTimeout}
 			}
 			s.server.CloseExpired(now, limits)
-			s.handler.sweepHolds(now, view.Servers)
+			s.handler.held.sweep(now, view.Servers)
 			s.handler.conns.CloseStale(now, func(target upconn.Target) bool {
 				server, known := view.Servers[target.ID]
 				return known && server.Born == target.StartTime && !server.Draining
