soak: servers that leave or pause, and checks of what reaches them

Cause: the soak had one server that announces its end and one that asks for a pause of one second, each in one of eight rounds, and counted nothing of what reached them.

Ruled out: a header of the daemon that names it to the servers. It sets none, and each request ID of the soak goes to one daemon, so the calls name it. Marks of the existing kinds as excuses: daemonDisturbed also covers cuts of the store and of peers, which don't excuse DRAIN.

Change: half of the unplanned rounds have, from a source of their own, a server that announces its end while its entry is ready, drains or lapses, all but one of them in series, some with streamed responses; or one, half or all servers that reject every request to every third with pauses from 0.3 to 6 s. They overlap with all other faults. For each daemon and start of a server the soak counts requests sent later than drainDue after a response that was passed on with the announcement (a restart or pause of the daemon excuses them), and requests between half a second after a rejection and the end of its pause (a cut excuses them, too). The report counts both kinds of responses. A server is started anew at the end of a round if it has announced its end, also if another fault has replaced the announcement.

--- a/fakes/server.go
+++ b/fakes/server.go
@@ -27,8 +27,9 @@
 // not run, Unsigned omits the signature, and Foreign first sends the response to
 // another request. EndlessHead sends header lines and EndlessBody a body without end,
 // until the connection is closed. Leaving announces in each response that the server
-// leaves. RetryAfter is what Shed tells callers to wait. Work is how long a request runs,
-// and Size is the minimum length of the response body in bytes.
+// leaves. RetryAfter is what Shed tells callers to wait, and ShedEvery limits Shed to
+// every so manieth request. Work is how long a request runs, Size is the minimum length of
+// the response body in bytes, and Stream is how long the server waits after half of it.
 type ServerFaults struct {
 	Cut         bool
 	EndlessBody bool
@@ -42,7 +43,9 @@
 	Short       bool
 	Unsigned    bool
 	RetryAfter  time.Duration
+	ShedEvery   int
 	Size        int
+	Stream      time.Duration
 	Work        time.Duration
 }
 
@@ -59,6 +62,7 @@
 
 	mutex      sync.Mutex
 	sequence   int64
+	announced  bool
 	running    int
 	runs       map[string]int
 	posts      map[string]int
@@ -67,11 +71,16 @@
 }
 
 // Arrival is a request that reached a server, whether or not it ran. Left is the time
-// that the request gave the server, 0 if it gave none.
+// that the request gave the server, 0 if it gave none. Born identifies the start of the
+// server. Leaving says that the response announces that the server leaves, and RetryAfter
+// is how long the response, a rejection, asks to wait.
 type Arrival struct {
-	ID   string
-	At   time.Time
-	Left time.Duration
+	ID         string
+	At         time.Time
+	Left       time.Duration
+	Born       int64
+	Leaving    bool
+	RetryAfter time.Duration
 }
 
 // Execution is one run of a request. End is zero while the request runs.
@@ -123,6 +132,15 @@
 	defer s.mutex.Unlock()
 	s.born++
 	s.sequence = 0
+	s.announced = false
+}
+
+// Announced reports whether a response of the server's current start announced that the
+// server leaves.
+func (s *Server) Announced() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.announced
 }
 
 // Leave deletes the server's registration from the store.
@@ -159,22 +177,24 @@
 // ServeHTTP handles a request as the platform's protocol specifies.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(proto.HeaderRequestID)
-	s.recordArrival(id, r.Header.Get(proto.HeaderDeadline))
 	faults := s.Faults.Get()
+	expected := r.Header.Get(platform.HeaderInstance)
+	misdirected := (expected != "" && expected != s.id) || faults.Moved
+	arrival, shed := s.recordArrival(r, faults, misdirected)
 	header := w.Header()
 	header.Set(proto.HeaderRequestID, id)
 	if faults.Leaving {
 		header.Set(platform.HeaderLeaving, "1")
 	}
 	header.Set(platform.HeaderLoad, fmt.Sprintf("%d,0,%d", s.addRunning(0), serverSlots))
-	switch expected := r.Header.Get(platform.HeaderInstance); {
-	case (expected != "" && expected != s.id) || faults.Moved:
+	switch {
+	case misdirected:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case faults.Shed:
+	case shed:
 		header.Set(platform.HeaderNotRun, "1")
-		if faults.RetryAfter > 0 {
-			header.Set("Retry-After", strconv.FormatFloat(faults.RetryAfter.Seconds(), 'f', -1, bits64))
+		if arrival.RetryAfter > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(arrival.RetryAfter.Seconds(), 'f', -1, bits64))
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -212,7 +232,12 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	default:
-		_, _ = io.WriteString(w, body)
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		if faults.Stream > 0 {
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(faults.Stream)
+		}
+		_, _ = io.WriteString(w, body[len(body)/2:])
 	}
 }
 
@@ -250,11 +275,23 @@
 	}
 }
 
-func (s *Server) recordArrival(id, deadlineMillis string) {
-	millis, _ := strconv.ParseInt(deadlineMillis, 10, bits64)
+// recordArrival records a request and how it is answered, and reports whether it is
+// rejected. The response to a misdirected request says nothing about this server.
+func (s *Server) recordArrival(r *http.Request, faults ServerFaults, misdirected bool) (arrival Arrival, shed bool) {
+	millis, _ := strconv.ParseInt(r.Header.Get(proto.HeaderDeadline), 10, bits64)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.arrivals = append(s.arrivals, Arrival{ID: id, At: time.Now(), Left: time.Duration(millis) * time.Millisecond})
+	arrival = Arrival{
+		ID: r.Header.Get(proto.HeaderRequestID), At: time.Now(), Left: time.Duration(millis) * time.Millisecond,
+		Born: s.born, Leaving: faults.Leaving && !misdirected,
+	}
+	shed = faults.Shed && !misdirected && (faults.ShedEvery == 0 || len(s.arrivals)%faults.ShedEvery == 0)
+	if shed {
+		arrival.RetryAfter = faults.RetryAfter
+	}
+	s.announced = s.announced || arrival.Leaving
+	s.arrivals = append(s.arrivals, arrival)
+	return arrival, shed
 }
 
 // run simulates the execution of a request. It counts the request as run as soon as
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -23,7 +23,7 @@
 // lasts reports whether clearFaults ends a fault.
 func lasts(fault Fault) bool {
 	switch fault.(type) {
-	case CompactStore, Pause, ResetLinks:
+	case CompactStore, LapseServer, Pause, ResetLinks:
 		return false
 	default:
 		return true
@@ -45,6 +45,8 @@
 		return f.startDrain(f.servers[fault.Server])
 	case IdleLimits:
 		return f.publishSeries(ctx, fault)
+	case LapseServer:
+		return f.lapse(ctx, f.servers[fault.Server], fault.Period)
 	case LongRequests:
 		return f.sendLong(ctx, fault)
 	case Pause:
@@ -82,7 +84,7 @@
 	}
 	for _, s := range f.servers {
 		// A server that leaves does so until it is started anew.
-		leaving := s.Faults.Get().Leaving
+		leaving := s.Announced()
 		s.Faults.Set(fakes.ServerFaults{})
 		clearLinkFaults(s.link)
 		if leaving {
@@ -121,6 +123,15 @@
 	return s.Register(f.store, true)
 }
 
+// lapse removes a server's entry from the store for a period.
+func (f *fleet) lapse(ctx context.Context, s *server, period time.Duration) error {
+	s.Leave(f.store)
+	sleep(ctx, period)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return s.Register(f.store, !s.drainStart.IsZero())
+}
+
 // pause stops a daemon's process for the given period.
 func (d *daemon) pause(ctx context.Context, period time.Duration) error {
 	d.processMutex.Lock()
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,9 +33,9 @@
 
 // call is one request of a caller and its result. limit is the timeout of its route,
 // lastByteAt when its last byte was sent, or zero if it was not, and endedAt when the
-// response was complete or the connection ended. status is 0 if there was no complete
-// response; cut says that then the daemon ended the connection, and begun that the head
-// of a response had come. kept says that the connection had been used before, behind
+// response was complete or the connection ended, and begunAt when the head of a response
+// had come, or zero. status is 0 if there was no complete
+// response; cut says that then the daemon ended the connection. kept says that the connection had been used before, behind
 // that an earlier request on it had no response yet, and signed that the response is a
 // server's. abandoned says that the caller ended the request early on purpose, and
 // planned that it was sent in a round with planned maintenance only.
@@ -46,11 +46,11 @@
 	limit      time.Duration
 	sentAt     time.Time
 	lastByteAt time.Time
+	begunAt    time.Time
 	endedAt    time.Time
 	status     int
 	signed     bool
 	cut        bool
-	begun      bool
 	kept       bool
 	behind     bool
 	abandoned  bool
@@ -159,7 +159,7 @@
 		return "", ""
 	}
 	defer response.Body.Close()
-	c.begun = true
+	c.begunAt = time.Now()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return "", ""
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -27,10 +27,11 @@
 	crashPeriod   = 5 * time.Second
 )
 
-// crashRecord is what the servers saw of the request that crashes them. Late counts the
+// crashRecord is what the servers saw of the request that crashes them, and its calls. Late counts the
 // retries beyond the limit's time, and calmSince is when the last disturbance of the
 // daemons or the store ended, or zero during one.
 type crashRecord struct {
+	calls     []call
 	crashes   []time.Time
 	late      int
 	calmSince time.Time
@@ -83,6 +84,12 @@
 	})
 }
 
+func (f *fleet) recordCrashCall(c call) {
+	f.crashMutex.Lock()
+	defer f.crashMutex.Unlock()
+	f.crashes.calls = append(f.crashes.calls, c)
+}
+
 // recordCrash records a crash, and whether the limit forbids its request.
 func (f *fleet) recordCrash(now time.Time) {
 	f.crashMutex.Lock()
@@ -100,7 +107,9 @@
 	end := time.Now().Add(crashPeriod)
 	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		d := f.daemons[i%len(f.daemons)]
-		roundTrip(ctx, d, &call{id: fmt.Sprintf("crash-%d-%d", end.UnixNano(), i), method: http.MethodGet}, "/lots"+fakes.CrashPath, "")
+		c := call{id: fmt.Sprintf("crash-%d-%d", end.UnixNano(), i), method: http.MethodGet, daemon: d.name, sentAt: time.Now()}
+		roundTrip(ctx, d, &c, "/lots"+fakes.CrashPath, "")
+		f.recordCrashCall(c)
 		sleep(ctx, crashInterval)
 	}
 	return nil
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -40,6 +40,11 @@
 		Limits   []time.Duration
 		Interval time.Duration
 	}
+	// LapseServer removes a server's entry from the store for a period.
+	LapseServer struct {
+		Server int
+		Period time.Duration
+	}
 	// LongRequests sends a daemon requests on kept connections whose servers work for a
 	// while, and whose route's timeout exceeds the limit of a stop. Pause is the time
 	// between two parts of the body.
@@ -87,6 +92,7 @@
 func (CutStore) isFault()      {}
 func (DrainServer) isFault()   {}
 func (IdleLimits) isFault()    {}
+func (LapseServer) isFault()   {}
 func (LongRequests) isFault()  {}
 func (Pause) isFault()         {}
 func (Publish) isFault()       {}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -244,6 +244,8 @@
 	}
 	started := f.history.begin(mark{kind: kind, name: d.name}, time.Now())
 	defer func() { started(time.Now()) }()
+	reset := f.history.begin(mark{kind: daemonReset, name: d.name}, time.Now())
+	defer func() { reset(time.Now()) }()
 	if err := d.signal(signal); err != nil {
 		return errors.Wrap(err, "signal daemon")
 	}
--- a/soak/history.go
+++ b/soak/history.go
@@ -8,8 +8,9 @@
 // markKind is a kind of event that the check for lost requests takes into account.
 type markKind int
 
-// The kinds of marks. The first three are unplanned disturbances, the others planned
-// maintenance.
+// The kinds of marks. The first three are unplanned disturbances, the next three planned
+// maintenance. The others detail these: a daemon that loses its memory or is paused, and
+// paths to a daemon or a server that lose data.
 const (
 	storeDisturbed markKind = iota
 	daemonDisturbed
@@ -17,6 +18,9 @@
 	daemonStopped
 	daemonReloaded
 	configPublished
+	daemonReset
+	daemonCut
+	serverCut
 )
 
 // mark names what an event concerns: a daemon or a server by its name.
@@ -84,15 +88,22 @@
 	case CompactStore, SickStore:
 		return []mark{{kind: storeDisturbed}}
 	case CutDaemon:
-		return []mark{daemonMark(fault.Daemon)}
+		return []mark{daemonMark(fault.Daemon), {kind: daemonCut, name: f.daemons[fault.Daemon].name}}
 	case CutStore:
-		return []mark{daemonMark(fault.Daemon)}
+		return []mark{daemonMark(fault.Daemon), {kind: daemonCut, name: f.daemons[fault.Daemon].name}}
 	case DrainServer:
 		return []mark{serverMark(fault.Server)}
+	case LapseServer:
+		return []mark{serverMark(fault.Server)}
 	case Pause:
-		return []mark{daemonMark(fault.Daemon)}
+		return []mark{daemonMark(fault.Daemon), {kind: daemonReset, name: f.daemons[fault.Daemon].name}}
 	case ResetLinks:
-		return []mark{daemonMark(fault.Daemon), serverMark(fault.Server)}
+		return []mark{
+			daemonMark(fault.Daemon),
+			{kind: daemonCut, name: f.daemons[fault.Daemon].name},
+			serverMark(fault.Server),
+			{kind: serverCut, name: f.servers[fault.Server].ID()},
+		}
 	case SickServer:
 		return []mark{serverMark(fault.Server)}
 	case SickService:
@@ -102,7 +113,7 @@
 		}
 		return marks
 	case SlowServer:
-		return []mark{serverMark(fault.Server)}
+		return []mark{serverMark(fault.Server), {kind: serverCut, name: f.servers[fault.Server].ID()}}
 	}
 	return nil
 }
--- a/soak/loss.go
+++ b/soak/loss.go
@@ -77,7 +77,7 @@
 		switch {
 		case len(disturbances) == 0:
 			ran = ran || !p.execution.Begin.IsZero()
-		case c.begun:
+		case !c.begunAt.IsZero():
 			return false
 		}
 	}
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -18,6 +18,9 @@
 	calls    []call
 	stall    time.Duration
 	findings []string
+	// The numbers of responses with which a server leaves or asks for a pause.
+	announcing int
+	rejected   int
 }
 
 // newID returns a new request ID.
@@ -144,7 +147,7 @@
 
 // report returns the findings and the numbers of calls by result.
 func (r *recorder) report(passes map[string][]pass) Report {
-	report := Report{Findings: r.findings, Stall: r.stall}
+	report := Report{Findings: r.findings, Stall: r.stall, Announcing: r.announcing, Rejected: r.rejected}
 	for _, c := range r.calls {
 		if c.status == http.StatusOK {
 			report.Served++
--- a/soak/session.go
+++ b/soak/session.go
@@ -234,7 +234,7 @@
 	var body []byte
 	if err == nil {
 		defer response.Body.Close()
-		m.call.begun = true
+		m.call.begunAt = time.Now()
 		body, err = io.ReadAll(response.Body)
 	}
 	m.call.endedAt = time.Now()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,20 +46,24 @@
 
 // Report is the result of a soak. Cut counts the requests of which the daemon ended the
 // connection without a response, and CutPassed those among them that reached a server.
-// Stall is the longest time for which the soak's own process did not run.
+// Announcing counts the responses that passed on a server's announcement that it leaves,
+// and Rejected those that asked a daemon for a pause. Stall is the longest time for which the soak's own process did not run.
 type Report struct {
 	Served    int
 	Unserved  int
 	Cut       int
 	CutPassed int
-	Stall     time.Duration
-	Findings  []string
+
+	Announcing int
+	Rejected   int
+	Stall      time.Duration
+	Findings   []string
 }
 
 // String returns the counts and the findings, one per line.
 func (r Report) String() string {
-	text := fmt.Sprintf("served %d, not served %d, cut %d (passed on %d), longest stall %s, findings %d",
-		r.Served, r.Unserved, r.Cut, r.CutPassed, r.Stall.Round(time.Millisecond), len(r.Findings))
+	text := fmt.Sprintf("served %d, not served %d, cut %d (passed on %d), announced ends %d, pauses %d, longest stall %s, findings %d",
+		r.Served, r.Unserved, r.Cut, r.CutPassed, r.Announcing, r.Rejected, r.Stall.Round(time.Millisecond), len(r.Findings))
 	return strings.Join(append([]string{text}, r.Findings...), "\n")
 }
 
@@ -76,6 +80,7 @@
 	err = f.runRounds(ctx, r)
 	passes := passesByID(f.servers)
 	r.verifyLosses(&f.history, passes)
+	f.verifyHolds(passes)
 	r.verify(f.servers)
 	err = errors.Join(err, f.shutdown(cancel), <-stalled)
 	return r.report(passes), err
@@ -85,6 +90,7 @@
 	random := rand.New(rand.NewPCG(f.options.Seed, f.options.Seed))
 	endless := rand.New(rand.NewPCG(f.options.Seed, endlessStream))
 	maintenance := rand.New(rand.NewPCG(f.options.Seed, maintenanceStream))
+	holds := rand.New(rand.NewPCG(f.options.Seed, holdStream))
 	wishes := rand.New(rand.NewPCG(f.options.Seed, wishStream))
 	f.waitForRecovery(ctx, r, "start")
 	f.setDisturbed(false)
@@ -93,6 +99,7 @@
 		if !planned {
 			events = append(events, randomEndless(endless, len(f.servers))...)
 			events = append(events, randomWishes(wishes, len(f.servers))...)
+			events = append(events, randomHolds(holds, len(f.servers))...)
 		}
 		if f.options.Sessions > 0 && (planned || maintenance.IntN(2) == 0) {
 			events = append(events, randomMaintenance(maintenance, len(f.daemons))...)
