simul: many servers in pauses at once

Ruled out: a test with processes.

Change: a load may have pauses: a share of the servers rejects all requests for a while and asks for a pause.

--- a/simul/load.go
+++ b/simul/load.go
@@ -9,19 +9,22 @@
 // Load describes the simulated service and its traffic. Servers is the number of
 // servers with Slots concurrent requests each, and Daemons the number of daemons
 // that ask one broker. Length is the simulated time. Stop is when all daemons lose
-// power, 0 for never.
+// power, 0 for never. With IgnorePauses the daemons do not heed the pauses that servers
+// ask for.
 type Load struct {
-	Seed    uint64         `yaml:"seed"`
-	Servers int            `yaml:"servers"`
-	Slots   int            `yaml:"slots"`
-	Daemons int            `yaml:"daemons"`
-	Zones   int            `yaml:"zones"`
-	Length  time.Duration  `yaml:"length"`
-	Stop    time.Duration  `yaml:"stop"`
-	Health  Health         `yaml:"health"`
-	Retries config.Retries `yaml:"retries"`
-	Classes []Class        `yaml:"classes"`
-	Bursts  []Burst        `yaml:"bursts"`
+	Seed         uint64         `yaml:"seed"`
+	Servers      int            `yaml:"servers"`
+	Slots        int            `yaml:"slots"`
+	Daemons      int            `yaml:"daemons"`
+	Zones        int            `yaml:"zones"`
+	Length       time.Duration  `yaml:"length"`
+	Stop         time.Duration  `yaml:"stop"`
+	Health       Health         `yaml:"health"`
+	Retries      config.Retries `yaml:"retries"`
+	Classes      []Class        `yaml:"classes"`
+	Bursts       []Burst        `yaml:"bursts"`
+	Pauses       []Pause        `yaml:"pauses"`
+	IgnorePauses bool           `yaml:"ignore_pauses"`
 }
 
 // Health describes the servers' unhealthy periods. UnhealthyShare is the share of
@@ -56,6 +59,25 @@
 	Factor float64       `yaml:"factor"`
 }
 
+// Pause makes a share of the servers reject all requests, from At for a period of For.
+// They ask each daemon that they reject to send nothing for RetryAfter.
+type Pause struct {
+	At         time.Duration `yaml:"at"`
+	For        time.Duration `yaml:"for"`
+	Share      float64       `yaml:"share"`
+	RetryAfter time.Duration `yaml:"retry_after"`
+}
+
+// pause returns what the server with an index asks daemons for at a time, 0 if nothing.
+func (l *Load) pause(index int, at time.Duration) time.Duration {
+	for _, p := range l.Pauses {
+		if at >= p.At && at < p.At+p.For && float64(index) < p.Share*float64(l.Servers) {
+			return p.RetryAfter
+		}
+	}
+	return 0
+}
+
 // factor returns the multiple of the usual rate at a time.
 func (l *Load) factor(at time.Duration) float64 {
 	factor := 1.0
--- a/simul/report.go
+++ b/simul/report.go
@@ -32,10 +32,12 @@
 
 // Report is the result of a run. LowestSpread is the lowest share of the sound
 // servers that got a request, over all spans of spreadSpan; a server is sound unless
-// a request failed on it in the span or just before.
+// a request failed on it in the span or just before. MostInPause is the highest number of
+// requests that one daemon sent to one server in a pause that it was asked for.
 type Report struct {
 	Classes      []*ClassReport
 	LowestSpread float64
+	MostInPause  int
 
 	length   time.Duration
 	capacity float64
@@ -91,6 +93,33 @@
 	spreadStart = 6 * time.Second
 )
 
+// Served returns the share of the requests of a span that were served.
+func (r *Report) Served(from, to time.Duration) float64 {
+	arrived, unserved := countWithin(r.arrived, from, to), countWithin(r.unserved, from, to)
+	return float64(arrived-unserved) / float64(max(arrived, 1))
+}
+
+func countWithin(times []time.Duration, from, to time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if at >= from && at < to {
+			count++
+		}
+	}
+	return count
+}
+
+// measurePauses sets MostInPause.
+func (r *Report) measurePauses(servers []*server) {
+	for _, s := range servers {
+		for _, pauses := range s.pauses {
+			for _, p := range pauses {
+				r.MostInPause = max(r.MostInPause, p.requests)
+			}
+		}
+	}
+}
+
 // measureSpread sets LowestSpread.
 func (r *Report) measureSpread(servers []*server) {
 	r.LowestSpread = 1
--- a/simul/settings.go
+++ b/simul/settings.go
@@ -56,6 +56,11 @@
 		c.add("ratio and slack must not be below 0", "retries")
 	}
 	c.checkClasses(load.Classes)
+	for _, p := range load.Pauses {
+		if p.At < 0 || p.For <= 0 || p.RetryAfter <= 0 || p.Share <= 0 || p.Share > 1 {
+			c.add("each pause needs at, for and retry_after above 0, and a share of at most 1", "pauses")
+		}
+	}
 	for _, b := range load.Bursts {
 		if b.At < 0 || b.For <= 0 || b.Factor <= 0 {
 			c.add("each burst needs at, and for and factor above 0", "bursts")
--- a/simul/settings_test.go
+++ b/simul/settings_test.go
@@ -21,6 +21,7 @@
 		{name: "burst without a factor", text: validClass + "bursts: [{at: 1s, for: 2s}]\n", want: "load.yaml:2:9: each burst needs at, and for and factor above 0"},
 		{name: "class twice", text: "classes:\n- {name: a, rate: 1, work: 1s, objective: 1s, deadline: 1s, attempts: 1}\n- {name: a, rate: 1, work: 1s, objective: 1s, deadline: 1s, attempts: 1}\n", want: "load.yaml:2:1: class a stands twice"},
 		{name: "no classes", text: "servers: 10\n", want: "load.yaml:1:1: classes are missing"},
+		{name: "pause without a share", text: validClass + "pauses: [{at: 1s, for: 2s, retry_after: 1s}]\n", want: "load.yaml:2:9: each pause needs at, for and retry_after above 0, and a share of at most 1"},
 		{name: "two findings", text: "servers: 0\nhealth: {unhealthy_share: 1}\n" + validClass, want: "load.yaml:1:10: servers is not above 0\nload.yaml:2:27: unhealthy_share is not between 0 and 1"},
 		{name: "unknown key", text: validClass + "speed: 1\n", want: "load.yaml:2:1: unknown key speed"},
 		{name: "valid", text: "length: 5s\n" + validClass},
