procs: a leaving server whose response is still being passed on (red)

Cause: front records what a response asks for when its lease is released. A response whose body exceeds 256 KiB is released at the end of its body, so a caller has had the head with Server-Leaving for as long as the body takes before the daemon is bound. The same holds for a body that breaks off: its release carries no report at all (responseCut).

Ruled out: brokers. They learn from the same release.

Change: TestFrontLeavingStream. One daemon and two servers; one announces its end in the head of a response whose body takes 6 s, and in no other.

Conclusion: a fault of the product, which breaks DRAIN; this commit has the test only.

--- a/procs/leaving_test.go
+++ b/procs/leaving_test.go
@@ -1,11 +1,13 @@
 package procs_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"dandeliondoor/fakes"
+	"dandeliondoor/proto"
 )
 
 // TestFrontServerLeaving guards against requests to a server whose responses say that it
@@ -95,3 +97,61 @@
 		})
 	}
 }
+
+// TestFrontLeavingStream guards against requests to a server that has announced its end in
+// the head of a response whose body is still being passed on.
+func TestFrontLeavingStream(t *testing.T) {
+	t.Parallel()
+	const drain, parallel = 2 * time.Second, 5
+	f := newFrontFleet(t, 1, 2)
+	leaving := f.servers[0]
+	leaving.Faults.Set(fakes.ServerFaults{Leaving: true, Size: 1 << 20, Stream: 3 * drain})
+	var response *http.Response
+	f.eventually("the head of a response of the leaving server", func() bool {
+		if response != nil {
+			response.Body.Close()
+		}
+		response = f.openStream(t, f.fronts[0])
+		return len(leaving.Arrivals()) > 0
+	})
+	defer response.Body.Close()
+	last := time.Now().Add(drain)
+	// The server announces nothing more, and both are busy enough to get requests.
+	f.setServerFaults(fakes.ServerFaults{Work: 100 * time.Millisecond})
+	sentLate := make(map[string]bool)
+	for end := last.Add(drain); time.Now().Before(end); {
+		answers := make([]<-chan stopAnswer, parallel)
+		for i := range answers {
+			f.requestCount++
+			id := fmt.Sprintf("r-%d", f.requestCount)
+			sentLate[id] = time.Now().After(last)
+			answers[i] = f.post(f.fronts[0], "/bales/1", id)
+		}
+		for _, answer := range answers {
+			<-answer
+		}
+	}
+	late := 0
+	for _, arrival := range leaving.Arrivals() {
+		if sentLate[arrival.ID] {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d requests reached the leaving server later than %s after the head of its response", late, drain)
+	}
+}
+
+// openStream sends a request and returns the response, whose body has not been read.
+func (f *frontFleet) openStream(t *testing.T, p *frontProcess) *http.Response {
+	t.Helper()
+	f.requestCount++
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.callers.String()+"/works/1", http.NoBody)
+	must(t, err)
+	request.Host = "souk.example"
+	request.Header.Set(proto.HeaderRequestID, fmt.Sprintf("r-%d", f.requestCount))
+	request.Header.Set(proto.HeaderDeadline, "15000")
+	response, err := (&http.Transport{}).RoundTrip(request)
+	must(t, err)
+	return response
+}
