--- a/front/exchange.go
+++ b/front/exchange.go
@@ -90,20 +90,30 @@
 			if last.response == nil || res.response != nil {
 				last = res
 			}
-			switch {
-			case ctx.Err() != nil:
-			case e.pending > 0 && res.withheld:
-				h.hedge(ctx, e)
-			case e.pending == 0 && (res.withheld || e.body.resendable()) && e.history.MayRetry(res.failure):
-				if h.beginAttempt(ctx, e) {
-					hedge.Reset(e.hedgeDelay)
-				}
+			if h.tryAgain(ctx, e, res) {
+				hedge.Reset(e.hedgeDelay)
 			}
 		}
 	}
 	return e.finalResponse(ctx, last, h.nextServer(e.service))
 }
 
+// tryAgain makes another attempt after one that failed, if that is allowed, and reports
+// whether it is the only one. The place of a hedge that was withheld is taken at once.
+func (h *Handler) tryAgain(ctx context.Context, e *exchange, res attemptResult) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case e.pending > 0:
+		if res.withheld {
+			h.hedge(ctx, e)
+		}
+		return false
+	default:
+		return (res.withheld || e.body.resendable()) && e.history.MayRetry(res.failure) && h.beginAttempt(ctx, e)
+	}
+}
+
 // hedge sends an idempotent request to another server when the pending attempt
 // takes longer than expected; the first response is forwarded.
 func (h *Handler) hedge(ctx context.Context, e *exchange) {
