front: the begin and end of a hold are logged and counted

Change: one line at info when a server begins to leave or pause, with the id of the request whose response said so, and one when the hold ends (pause over, a new start, gone from the list), found every 0.5 s; one more if the server is listed again while it is still held. A pause that is asked for anew before its end was seen is the same hold, so that a server causes at most two lines a kind and half a second.

Evidence: TestHoldsObserved and TestHoldBeginsOnce are new. Without observe all three cases time out; without the comparison of starts 'restarted', without the end of pauses 'pause over', without the mark of unlisted servers 'gone'; without the look for a known hold there are two lines for two responses. Without its count TestHeldBeforeSend fails (0 withheld attempts, want 1).

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -75,6 +75,7 @@
 		return attemptResult{failed: true, failure: NotSent, outcome: choose.Cancelled, err: errStopping}
 	}
 	if h.held.isHeld(time.Now(), lease.Server) {
+		h.metrics.withheld.Inc()
 		conn.Close()
 		h.release(lease, choose.Release{Outcome: choose.Cancelled}, proto.Report{Running: -1})
 		return attemptResult{failed: true, failure: NotSent, withheld: true, outcome: choose.Cancelled, err: errHeld}
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -90,20 +90,33 @@
 			if last.response == nil || res.response != nil {
 				last = res
 			}
-			switch {
-			case ctx.Err() != nil:
-			case e.pending > 0 && res.withheld:
-				h.hedge(ctx, e)
-			case e.pending == 0 && (res.withheld || e.body.resendable()) && e.history.MayRetry(res.failure):
-				if h.beginAttempt(ctx, e) {
-					hedge.Reset(e.hedgeDelay)
-				}
+			if h.retry(ctx, e, res) {
+				hedge.Reset(e.hedgeDelay)
 			}
 		}
 	}
 	return e.finalResponse(ctx, last)
 }
 
+// retry makes another attempt after a failed one, if that is allowed, and reports whether
+// the request should be hedged again. A withheld attempt is made up for at once, since none
+// of the body was read and no server got the request.
+func (h *Handler) retry(ctx context.Context, e *exchange, res attemptResult) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case e.pending > 0:
+		if res.withheld {
+			h.hedge(ctx, e)
+		}
+		return false
+	case !e.body.resendable() && !res.withheld, !e.history.MayRetry(res.failure):
+		return false
+	default:
+		return h.beginAttempt(ctx, e)
+	}
+}
+
 // hedge sends an idempotent request to another server when the pending attempt
 // takes longer than expected; the first response is forwarded.
 func (h *Handler) hedge(ctx context.Context, e *exchange) {
--- a/front/holds.go
+++ b/front/holds.go
@@ -29,6 +29,30 @@
 	holdPause   holdKind = "pause"
 )
 
+// holdEnd is why a hold is no longer in force.
+type holdEnd string
+
+const (
+	holdEndGone      holdEnd = "gone"
+	holdEndOver      holdEnd = "pause_over"
+	holdEndRestarted holdEnd = "restarted"
+)
+
+// observedKey identifies a hold of one kind on one start of a server.
+type observedKey struct {
+	server string
+	born   int64
+	kind   holdKind
+}
+
+// observedHold is a hold whose begin was logged. It began with the response to the request
+// with the ID. Unlisted is set while the server is not listed.
+type observedHold struct {
+	requestID string
+	began     time.Time
+	unlisted  bool
+}
+
 // heldServers tracks the servers that want no further requests of this daemon. Recorded
 // is whether any server has asked for that.
 type heldServers struct {
@@ -38,11 +62,12 @@
 
 	mutex           sync.Mutex
 	holds           *choose.Holds
+	observed        map[observedKey]observedHold
 	problemLoggedAt time.Time
 }
 
 func newHeldServers(metrics *metrics, log *logrus.Entry) *heldServers {
-	return &heldServers{metrics: metrics, log: log, holds: choose.NewHolds()}
+	return &heldServers{metrics: metrics, log: log, holds: choose.NewHolds(), observed: make(map[observedKey]observedHold)}
 }
 
 // record records what a server asks for in a response to the request with an ID.
@@ -57,13 +82,74 @@
 	defer s.mutex.Unlock()
 	if report.Leaving {
 		s.holds.Leave(now, server)
+		s.begin(now, observedKey{server: server.ID, born: server.Born, kind: holdLeaving}, requestID, report)
 	}
 	if report.RetryAfter > 0 {
 		s.holds.Pause(now, server, report.RetryAfter)
+		s.begin(now, observedKey{server: server.ID, born: server.Born, kind: holdPause}, requestID, report)
 	}
 	s.recorded.Store(true)
-	s.log.WithField("server", server.ID).WithField("leaving", report.Leaving).WithField("request_id", requestID).
-		WithField("retry_after", report.RetryAfter.String()).Debug("server wants no further requests")
+}
+
+// begin logs and counts a hold, unless that was done already.
+func (s *heldServers) begin(now time.Time, key observedKey, requestID string, report proto.Report) {
+	if _, known := s.observed[key]; known {
+		return
+	}
+	s.observed[key] = observedHold{requestID: requestID, began: now}
+	s.metrics.holds.WithLabelValues(string(key.kind)).Inc()
+	s.metrics.holdsInForce.WithLabelValues(string(key.kind)).Inc()
+	log := s.logHold(key, requestID)
+	if key.kind == holdPause {
+		log = log.WithField("pause", report.RetryAfter.String())
+	}
+	log.Info("server wants no further requests")
+}
+
+func (s *heldServers) logHold(key observedKey, requestID string) *logrus.Entry {
+	return s.log.WithField("server", key.server).WithField("born", key.born).WithField("kind", string(key.kind)).
+		WithField("request_id", requestID)
+}
+
+// observe logs and counts the holds that have ended, given the listed servers.
+func (s *heldServers) observe(now time.Time, servers map[string]topo.Server) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for key, hold := range s.observed {
+		leaving, pause := s.holds.Wish(now, topo.Server{ID: key.server, Born: key.born})
+		server, listed := servers[key.server]
+		switch {
+		case key.kind == holdPause && pause <= 0:
+			s.end(now, key, hold, holdEndOver)
+			delete(s.observed, key)
+		case key.kind == holdLeaving && !leaving:
+			s.end(now, key, hold, holdEndGone)
+			delete(s.observed, key)
+		case listed && server.Born != key.born:
+			s.end(now, key, hold, holdEndRestarted)
+			delete(s.observed, key)
+		case !listed:
+			s.end(now, key, hold, holdEndGone)
+			hold.unlisted = true
+			s.observed[key] = hold
+		case hold.unlisted:
+			hold.unlisted = false
+			s.observed[key] = hold
+			s.logHold(key, hold.requestID).Info("server that wants no further requests is listed again")
+			s.metrics.holdsInForce.WithLabelValues(string(key.kind)).Inc()
+		}
+	}
+}
+
+// end logs and counts the end of a hold, unless that was done when its server was no
+// longer listed.
+func (s *heldServers) end(now time.Time, key observedKey, hold observedHold, reason holdEnd) {
+	if hold.unlisted {
+		return
+	}
+	s.logHold(key, hold.requestID).WithField("reason", string(reason)).WithField("held_ms", now.Sub(hold.began).Milliseconds()).
+		Info("server is no longer held")
+	s.metrics.holdsInForce.WithLabelValues(string(key.kind)).Dec()
 }
 
 // recordProblems records that a server sent values that were ignored or bounded.
--- a/front/holds_test.go
+++ b/front/holds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -110,6 +111,8 @@
 	logs     *logLines
 	client   *http.Client
 	address  string
+	handler  *front.Handler
+	log      *logrus.Entry
 }
 
 func newHoldFixture(t *testing.T) *holdFixture {
@@ -136,8 +139,8 @@
 	log := logrus.NewEntry(logger)
 	broker := slots.NewBroker(choose.RetryLimits{Ratio: 1, Window: time.Second, Slack: 100}, 1)
 	client := slots.NewClient(f.views, wire.NewPeers(&wire.Meter{}), broker, f.fallback, log)
-	handler := front.NewHandler(f.views, client, platform.Dialect{}, registry, log)
-	caller := httptest.NewServer(handler)
+	f.handler, f.log = front.NewHandler(f.views, client, platform.Dialect{}, registry, log), log
+	caller := httptest.NewServer(f.handler)
 	f.t.Cleanup(caller.Close)
 	return caller.URL
 }
@@ -358,6 +361,9 @@
 				if status := <-answered; status != http.StatusOK || !other.reached("r-late") || held.reached("r-late") {
 					t.Errorf("got status %d, reached the other server: %t, the held one: %t", status, other.reached("r-late"), held.reached("r-late"))
 				}
+				if withheld := f.value("dandeliondoor_front_withheld_attempts_total"); withheld != 1 {
+					t.Errorf("counted %v withheld attempts, want 1", withheld)
+				}
 			})
 		}
 	}
@@ -465,7 +471,8 @@
 	f.t.Helper()
 	request, err := http.NewRequest(http.MethodPost, f.address+"/bales/1", nil)
 	if err != nil {
-		f.t.Fatal(err)
+		f.t.Error(err)
+		return 0
 	}
 	request.Host = "souk.example"
 	request.Header.Set(proto.HeaderRequestID, id)
@@ -547,3 +554,120 @@
 	}
 	return 0
 }
+
+// startService starts a service with the handler, which looks after it.
+func (f *holdFixture) startService() {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended, err := front.NewService(listener, f.handler, f.log).Start(ctx, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		cancel()
+		listener.Close()
+		<-ended
+	})
+}
+
+// TestHoldsObserved follows a server that asks for no further requests from its wish to its
+// end, by log lines with the ID of the request and by metrics.
+func TestHoldsObserved(t *testing.T) {
+	t.Parallel()
+	restarted := func(s *holdServer) []*holdServer {
+		again := &holdServer{Server: s.Server}
+		again.Born++
+		return []*holdServer{again}
+	}
+	pause := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(platform.HeaderNotRun, "1")
+		w.Header().Set("Retry-After", "0.4")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for _, test := range []struct {
+		name    string
+		kind    string
+		respond http.HandlerFunc
+		shown   func(s *holdServer) []*holdServer
+		reason  string
+	}{
+		{name: "pause over", kind: "pause", respond: pause, reason: "pause_over"},
+		{name: "restarted", kind: "leaving", respond: wishes[0].respond, shown: restarted, reason: "restarted"},
+		{name: "gone", kind: "leaving", respond: wishes[0].respond, shown: func(*holdServer) []*holdServer { return nil }, reason: "gone"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newHoldFixture(t)
+			f.startService()
+			server := f.server("i-1")
+			f.show(server)
+			server.respond(test.respond)
+			f.hear(wish{endless: test.kind == "leaving"})
+			if test.kind == "leaving" {
+				f.status("r-later")
+			}
+			began := f.logs.find("server wants no further requests")
+			if len(began) != 1 || began[0].Data["server"] != "i-1" || began[0].Data["request_id"] != "r-asked" ||
+				began[0].Data["kind"] != test.kind || began[0].Level != logrus.InfoLevel {
+				t.Fatalf("got lines %v", began)
+			}
+			begun, inForce := f.value("dandeliondoor_front_holds_total", test.kind), f.value("dandeliondoor_front_holds_in_force", test.kind)
+			over := len(f.logs.find("server is no longer held")) > 0
+			if begun != 1 || (inForce != 1 && !over) {
+				t.Errorf("counted %v holds begun and %v in force", begun, inForce)
+			}
+			if test.shown != nil {
+				f.show(test.shown(server)...)
+			}
+			f.eventually("the end of the hold", func() bool { return len(f.logs.find("server is no longer held")) > 0 })
+			ended := f.logs.find("server is no longer held")
+			if len(ended) != 1 || ended[0].Data["server"] != "i-1" || ended[0].Data["request_id"] != "r-asked" ||
+				ended[0].Data["kind"] != test.kind || ended[0].Data["reason"] != test.reason || ended[0].Level != logrus.InfoLevel {
+				t.Errorf("got lines %v", ended)
+			}
+			f.eventually("no hold to be in force", func() bool { return f.value("dandeliondoor_front_holds_in_force", test.kind) == 0 })
+			if test.reason != "gone" {
+				return
+			}
+			f.show(server)
+			f.eventually("the hold to be in force again", func() bool { return f.value("dandeliondoor_front_holds_in_force", test.kind) == 1 })
+			again := f.logs.find("server that wants no further requests is listed again")
+			if len(again) != 1 || again[0].Data["request_id"] != "r-asked" || len(f.logs.find("server is no longer held")) != 1 {
+				t.Errorf("got lines %v", again)
+			}
+		})
+	}
+}
+
+// TestHoldBeginsOnce lets a server announce in two responses at once that it leaves. That
+// is one hold, with one line.
+func TestHoldBeginsOnce(t *testing.T) {
+	t.Parallel()
+	f := newHoldFixture(t)
+	server := f.server("i-1")
+	f.show(server)
+	var arrived sync.WaitGroup
+	arrived.Add(2)
+	server.respond(func(w http.ResponseWriter, _ *http.Request) {
+		arrived.Done()
+		arrived.Wait()
+		w.Header().Set(platform.HeaderLeaving, "1")
+	})
+	statuses := make(chan int, 2)
+	for _, id := range []string{"r-1", "r-2"} {
+		go func() { statuses <- f.status(id) }()
+	}
+	for range 2 {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("got status %d", status)
+		}
+	}
+	lines, begun := f.logs.find("server wants no further requests"), f.value("dandeliondoor_front_holds_total", "leaving")
+	if len(lines) != 1 || begun != 1 {
+		t.Errorf("got %d lines and counted %v holds, want one of each", len(lines), begun)
+	}
+}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -19,6 +19,9 @@
 	unhandled      *prometheus.CounterVec
 	panics         prometheus.Counter
 	ended          *prometheus.CounterVec
+	holds          *prometheus.CounterVec
+	holdsInForce   *prometheus.GaugeVec
+	withheld       prometheus.Counter
 	unusable       *prometheus.CounterVec
 }
 
@@ -76,11 +79,23 @@
 
 // registerHolds creates and registers the metrics of servers that want no further requests.
 func (m *metrics) registerHolds(registry prometheus.Registerer) {
+	m.holds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "dandeliondoor_front_holds_total",
+		Help: "Starts of servers that asked this daemon for no further requests, by kind.",
+	}, []string{"kind"})
+	m.holdsInForce = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "dandeliondoor_front_holds_in_force",
+		Help: "Listed servers that want no further requests of this daemon now, by kind.",
+	}, []string{"kind"})
+	m.withheld = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "dandeliondoor_front_withheld_attempts_total",
+		Help: "Attempts that were not sent because their server had asked for no further requests meanwhile.",
+	})
 	m.unusable = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "dandeliondoor_front_unusable_values_total",
 		Help: "Values with which a server asked for no further requests that were ignored or bounded, by kind and reason.",
 	}, []string{"kind", "reason"})
-	registry.MustRegister(m.unusable)
+	registry.MustRegister(m.holds, m.holdsInForce, m.withheld, m.unusable)
 }
 
 func statusClass(status int) string { return strconv.Itoa(status/100) + "xx" }
--- a/front/service.go
+++ b/front/service.go
@@ -63,7 +63,8 @@
 }
 
 // sweep periodically closes callers' connections that exceed a timeout, and pooled
-// connections that have expired or whose server restarted, drains or is gone.
+// connections that have expired or whose server restarted, drains or is gone. It logs which
+// servers want requests again.
 func (s *Service) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -79,6 +80,7 @@
 				limits = httpd.Limits{HeaderTimeout: configured.HeaderTimeout, IdleTimeout: configured.IdleTimeout}
 			}
 			s.server.CloseExpired(now, limits)
+			s.handler.held.observe(now, view.Servers)
 			s.handler.conns.CloseStale(now, func(target upconn.Target) bool {
 				server, known := view.Servers[target.ID]
 				return known && server.Born == target.StartTime && !server.Draining
