--- a/front/exchange.go
+++ b/front/exchange.go
@@ -90,7 +90,7 @@
 			if last.response == nil || res.response != nil {
 				last = res
 			}
-			if h.tryAgain(ctx, e, res) {
+			if h.retry(ctx, e, res) {
 				hedge.Reset(e.hedgeDelay)
 			}
 		}
@@ -98,9 +98,10 @@
 	return e.finalResponse(ctx, last, h.nextServer(e.service))
 }
 
-// tryAgain makes another attempt after one that failed, if that is allowed, and reports
-// whether it is the only one. The place of a hedge that was withheld is taken at once.
-func (h *Handler) tryAgain(ctx context.Context, e *exchange, res attemptResult) bool {
+// retry makes another attempt after a failed one, if that is allowed, and reports whether
+// the request should be hedged again. A withheld attempt is made up for at once, since none
+// of the body was read and no server got the request.
+func (h *Handler) retry(ctx context.Context, e *exchange, res attemptResult) bool {
 	switch {
 	case ctx.Err() != nil:
 		return false
@@ -109,8 +110,10 @@
 			h.hedge(ctx, e)
 		}
 		return false
+	case !e.body.resendable() && !res.withheld, !e.history.MayRetry(res.failure):
+		return false
 	default:
-		return (res.withheld || e.body.resendable()) && e.history.MayRetry(res.failure) && h.beginAttempt(ctx, e)
+		return h.beginAttempt(ctx, e)
 	}
 }
 
