httpd: a connection whose request context has ended is not kept

What callers saw: a request on a kept connection was passed on to a sound server, and the connection closed without a response a millisecond later, when the body of the request before it had come late.

Cause: when a read of a body hits its deadline, net/http cancels the context of the connection, and so of all later requests on it. If the rest of the body came before the 408, the connection was kept.

Change: a response whose request context has ended announces the close.

Ruled out: a body deadline that net/http does not see; its reads would block then.

Evidence: TestRestOfBodyAfterDeadline ('the next request on the connection was aborted at once: context canceled') fails before and passes.

--- a/httpd/response_writer.go
+++ b/httpd/response_writer.go
@@ -7,10 +7,13 @@
 
 // responseWriter adds Connection: close to each response whose head is written once
 // closing is set, unless the next request has been read already, and to each whose
-// request has not been read to its end: net/http would hold it back until then.
+// request has not been read to its end: net/http would hold it back until then. It does so,
+// too, if the context of the request has ended, which is that of all further requests on
+// the connection: net/http cancels it when reading a body fails, also at a deadline.
 type responseWriter struct {
 	http.ResponseWriter
 
+	request     *http.Request
 	conn        *callerConn
 	closing     *atomic.Bool
 	wroteHeader bool
@@ -48,7 +51,7 @@
 	if w.conn == nil {
 		return
 	}
-	if w.conn.bodyIncomplete() || (w.closing.Load() && !w.conn.hasNext()) {
+	if w.request.Context().Err() != nil || w.conn.bodyIncomplete() || (w.closing.Load() && !w.conn.hasNext()) {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -90,7 +90,7 @@
 		if conn != nil {
 			conn.beginRequest()
 		}
-		tracked := &responseWriter{ResponseWriter: w, conn: conn, closing: &s.closing}
+		tracked := &responseWriter{ResponseWriter: w, request: r, conn: conn, closing: &s.closing}
 		completed := false
 		defer func() {
 			if conn != nil && !completed {
