slots: an end that a server announced in a response is no crash

What callers saw: harmless requests refused for five minutes.

Cause: only an end announced in the store was left out.

Change: a daemon remembers the listed starts whose release said that they leave, and doesn't count their ends for requests without a response. Connections that the server ends with the request on them count as before.

Ruled out: counting no end without a response; a request that crashes a server silently would pass the limit.

Evidence: TestAnnouncedEnds, in a response, fails before and passes.

Conclusion: partial; a daemon that neither got such a response nor brokers the service does not know, and still counts its own silent attempts there.

--- a/slots/crashes.go
+++ b/slots/crashes.go
@@ -30,6 +30,7 @@
 	mutex   sync.Mutex
 	counter *crash.Counter
 	servers map[string]topo.Server
+	leaving map[string]int64
 	stored  map[crash.Fingerprint]crash.Record
 	due     map[crash.Fingerprint]time.Time
 }
@@ -49,7 +50,8 @@
 func NewCrashes(options ...CrashOption) *Crashes {
 	c := &Crashes{
 		log: logs.Discard().Part(Name), counter: crash.NewCounter(), due: make(map[crash.Fingerprint]time.Time),
-		sends: make(chan delivery, maxReports), wake: make(chan struct{}, 1),
+		leaving: make(map[string]int64),
+		sends:   make(chan delivery, maxReports), wake: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(c)
@@ -88,9 +90,14 @@
 	if view.Servers != nil {
 		for id, server := range c.servers {
 			next, listed := view.Servers[id]
-			if !server.Draining && (!listed || next.Born != server.Born) {
+			if listed && next.Born == server.Born {
+				continue
+			}
+			announced, leaving := c.leaving[id]
+			if !server.Draining && (!leaving || announced != server.Born) {
 				reports = append(reports, c.counter.EndServer(now, id, server.Born)...)
 			}
+			delete(c.leaving, id)
 		}
 		c.servers = view.Servers
 	}
@@ -109,6 +116,9 @@
 // Released learns from the end of an attempt at a server of a service.
 func (c *Crashes) Released(now time.Time, service string, release choose.Release) {
 	c.mutex.Lock()
+	if server, listed := c.servers[release.Server]; release.Leaving && listed && server.Born == release.Born {
+		c.leaving[release.Server] = release.Born
+	}
 	deliveries := c.apply(now, c.reports(now, service, release))
 	c.mutex.Unlock()
 	if release.Loss == choose.LossEnded && c.views != nil && release.Daemon != c.views.Self().Name {
