--- a/procs/front_stop_test.go
+++ b/procs/front_stop_test.go
@@ -101,7 +101,7 @@
 	f.t.Helper()
 	code := p.waitExit(f.t)
 	if took := time.Since(began); code != 0 || took > stopLimit {
-		f.t.Errorf("exited with code %d after %s", code, took.Round(time.Millisecond))
+		f.t.Errorf("exited with code %d after %s:\n%s", code, took.Round(time.Millisecond), p.output)
 	}
 }
 
