entry: test that the end of a stop refuses what has not run

The refusal in Service.serve of requests that come to the handler after the end of a stop has begun could be taken out without a test that failed. TestStopRefusesRest pipelines a request behind one that runs; without the refusal it fails: 'got 502 "not-run" "no_answer", want 503 stopping'. It passes with the code as it is.

--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dandeliondoor/demo"
+	"dandeliondoor/entry"
 	"dandeliondoor/proto"
 )
 
@@ -227,3 +228,57 @@
 		t.Errorf("stopping failed: %v", err)
 	}
 }
+
+// TestStopRefusesRest lets the time of a stop end while a request waits for the one before
+// it on its connection. It guards against a request that has not run and is not refused, or
+// whose response says that it may have run.
+func TestStopRefusesRest(t *testing.T) {
+	t.Parallel()
+	const stopTime = time.Second
+	running, release := make(chan struct{}, 2), make(chan struct{})
+	h := newHarness(t, newHandlerUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		select {
+		case <-r.Context().Done():
+		case <-release:
+		}
+	}))
+	defer close(release)
+	const post = "POST /bales HTTP/1.1\r\nHost: souk.example\r\nContent-Length: 3\r\n\r\nlot"
+	conn, err := net.Dial("tcp", h.fleet.Daemons[0].Settings.Listen.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(conn, post+post); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.fleet.StopDaemon(ctx, h.fleet.Daemons[0]) }()
+	reader := bufio.NewReader(conn)
+	for _, want := range []struct {
+		status  int
+		outcome proto.Outcome
+		reason  entry.Reason
+	}{
+		{status: http.StatusBadGateway, outcome: proto.OutcomeUnknown, reason: entry.ReasonNoAnswer},
+		{status: http.StatusServiceUnavailable, outcome: proto.OutcomeNotRun, reason: entry.ReasonStopping},
+	} {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("no response, want %+v: %v", want, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		outcome, reason := response.Header.Get(proto.HeaderOutcome), response.Header.Get(proto.HeaderReason)
+		if response.StatusCode != want.status || outcome != string(want.outcome) || reason != string(want.reason) {
+			t.Errorf("got %d %q %q, want %+v", response.StatusCode, outcome, reason, want)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stopping failed: %v", err)
+	}
+}
