logs: a line after the end is dropped, not a panic

The wait for the last lines and for tasks in the background became bounded, so that a task that outlasts the stop (a slow read of the settings, a state that nobody reads) can log when the writer is closed already. Write then sent on a closed channel: the process, whose stop was clean, ended with a panic. Ruled out: a longer wait, since a stalled reader has no bound.

The writer has a channel of its own for the close; lines behind it count as dropped.

That a process ended so was not seen, only concluded from reading.

--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -27,6 +27,7 @@
 	lines     chan []byte
 	limiter   *rate.Limiter
 	dropped   atomic.Uint64
+	closed    chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
 }
@@ -35,25 +36,48 @@
 	b := &boundedWriter{
 		lines:   make(chan []byte, maxQueuedLines),
 		limiter: rate.NewLimiter(rate.Limit(linesPerSecond), linesPerSecond),
+		closed:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 	go b.run(w)
 	return b
 }
 
-// run writes queued lines until Close. A line whose write fails counts as dropped.
+// run writes lines until Close, and then those that are queued.
 func (b *boundedWriter) run(w io.Writer) {
 	defer close(b.done)
-	for line := range b.lines {
-		if _, err := w.Write(line); err != nil {
-			b.dropped.Add(1)
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeLine(w, line)
+		case <-b.closed:
+			b.writeQueued(w)
+			return
 		}
 	}
 }
 
+func (b *boundedWriter) writeQueued(w io.Writer) {
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeLine(w, line)
+		default:
+			return
+		}
+	}
+}
+
+// writeLine writes a line. One whose write fails counts as dropped.
+func (b *boundedWriter) writeLine(w io.Writer, line []byte) {
+	if _, err := w.Write(line); err != nil {
+		b.dropped.Add(1)
+	}
+}
+
 // Write queues a line or drops it. It never returns an error.
 func (b *boundedWriter) Write(line []byte) (int, error) {
-	if !b.limiter.AllowN(time.Now(), 1) {
+	if b.isClosed() || !b.limiter.AllowN(time.Now(), 1) {
 		b.dropped.Add(1)
 		return len(line), nil
 	}
@@ -65,10 +89,19 @@
 	return len(line), nil
 }
 
+func (b *boundedWriter) isClosed() bool {
+	select {
+	case <-b.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close writes the queued lines and waits until they are written, or for closeTimeout.
-// Nothing may be logged afterwards.
+// Lines that are logged afterwards are dropped.
 func (b *boundedWriter) Close() error {
-	b.closeOnce.Do(func() { close(b.lines) })
+	b.closeOnce.Do(func() { close(b.closed) })
 	timer := time.NewTimer(closeTimeout)
 	defer timer.Stop()
 	select {
