httpd: requests behind a reset response are not ended by their caller

Requests that had been read behind a response that the handler resets were logged and counted with the cause 'caller closed the connection': net/http reports the connection as taken over before the handler has closed it, and without a cause the caller's was taken. OPERATIONS excuses the caller's, so such ends looked harmless. Ruled out: the end by a panic, which closes first and has the right cause.

A connection that has not ended yet when it is reported is one that this daemon ends.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -392,8 +392,12 @@
 	ahead := c.parser.with(c.unread)
 	ahead.forget(answered)
 	cause := c.endCause()
-	if c.announced || c.rejected {
+	switch {
+	case c.announced || c.rejected:
 		cause = ErrBehindLast
+	case c.err == nil:
+		// The handler has taken over the connection, to reset it.
+		cause = ErrServerClosed
 	}
 	return Unhandled{Count: max(ahead.heads-answered, 0), IDs: ahead.ids, Cause: cause}
 }
--- a/httpd/unhandled_test.go
+++ b/httpd/unhandled_test.go
@@ -109,6 +109,7 @@
 	}{
 		{name: "all handled", sent: numbered("/", 1, 3), leave: true, responses: 3},
 		{name: "broken off", sent: numbered("/", 1, 2) + numbered("/abort", 3, 1) + numbered("/", 4, 2), count: 2, ids: numberedIDs(4, 2), cause: httpd.ErrServerClosed},
+		{name: "reset", sent: numbered("/reset", 1, 1) + numbered("/", 2, 2), count: 2, ids: numberedIDs(2, 2), cause: httpd.ErrServerClosed},
 		{name: "caller left", sent: numbered("/wait", 1, 1) + numbered("/", 2, 3), leave: true, count: 3, ids: numberedIDs(2, 3), cause: httpd.ErrCallerLeft},
 		{name: "many", sent: numbered("/abort", 1, 1) + numbered("/", 2, 200), count: 200, ids: numberedIDs(186, 16), cause: httpd.ErrServerClosed},
 		{name: "no ID", sent: numbered("/abort", 1, 1) + shortRequest, count: 1, ids: []string{""}, cause: httpd.ErrServerClosed},
@@ -127,7 +128,7 @@
 			}
 			recorded := recordListener{Listener: listener, size: len(test.sent), recorded: make(chan struct{})}
 			reports := make(chan httpd.Unhandled, 9)
-			server := httpd.NewServer(recorded, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			server := httpd.NewServer(recorded, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				<-recorded.recorded
 				switch r.URL.Path {
 				case "/wait":
@@ -135,6 +136,10 @@
 					panic(http.ErrAbortHandler)
 				case "/abort":
 					panic(http.ErrAbortHandler)
+				case "/reset":
+					if err := httpd.Abort(w); err != nil {
+						t.Error(err)
+					}
 				}
 			}), httpd.WithReadAhead(), httpd.WithUnhandled("X-Lot-Id", func(u httpd.Unhandled) { reports <- u }))
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
