--- a/fakes/server.go
+++ b/fakes/server.go
@@ -28,7 +28,7 @@
 // another request. EndlessHead sends header lines and EndlessBody a body without end,
 // until the connection is closed. Leaving announces in each response that the server
 // leaves. RetryAfter is what Shed tells callers to wait, and ShedEvery limits Shed to
-// every so manieth request. Work is how long a request runs, Size is the minimum length of
+// every n-th request. Work is how long a request runs, Size is the minimum length of
 // the response body in bytes, and Stream is how long the server waits after half of it.
 type ServerFaults struct {
 	Cut         bool
