httpd: a shutdown closes resting connections also while others arrive

Shutdown accepts what is pending before it closes anything. While callers connect all the time, or the process gets hardly any processor, another connection can be pending at each look, so that the connections that rest were closed only by the end of the stop, without the check of what has come on them: requests that had been read were cut then. Ruled out: a bound on the accepting, which would reset what is pending at its end.

Shutdown now closes waiting connections from the beginning on, and ends when none is left and no further one is accepted. New connections keep their grace.

The test has to be read with the listener of its own: it reports a deadline although a connection is pending, which a real one does only between two arrivals.

--- a/httpd/accept_test.go
+++ b/httpd/accept_test.go
@@ -71,3 +71,56 @@
 		})
 	}
 }
+
+// crowdedListener accepts one connection. After that another one is always pending.
+type crowdedListener struct {
+	*net.TCPListener
+
+	accepted bool
+}
+
+// Accept implements net.Listener.
+func (l *crowdedListener) Accept() (net.Conn, error) {
+	if !l.accepted {
+		l.accepted = true
+		return l.TCPListener.Accept()
+	}
+	time.Sleep(time.Millisecond)
+	if _, err := l.SyscallConn(); err != nil {
+		return nil, err
+	}
+	return nil, os.ErrDeadlineExceeded
+}
+
+// TestShutdownWhileConnsArrive shuts a server down to which callers connect all the time. It
+// guards against connections that wait for a request and are closed only when that ends, or
+// by the end of the process.
+func TestShutdownWhileConnsArrive(t *testing.T) {
+	t.Parallel()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httpd.NewServer(&crowdedListener{TCPListener: listener}, http.NotFoundHandler(), httpd.WithReadAhead())
+	ctx, cancel := context.WithCancel(context.Background())
+	served := kernel.Run(ctx, server.Serve)
+	conn := dialServer(t, listener.Addr().String())
+	reader := bufio.NewReader(conn)
+	if _, err := io.WriteString(conn, shortRequest); err != nil {
+		t.Fatal(err)
+	}
+	readResponse(t, reader)
+	dialServer(t, listener.Addr().String())
+	stop, cancelStop := context.WithCancel(ctx)
+	shutDown := kernel.Run(stop, server.Shutdown)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("got %v, want the connection to be closed", err)
+	}
+	cancelStop()
+	<-shutDown
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -150,18 +150,13 @@
 	if err := s.listener.stop(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrap(err, "stop listener")
 	}
-	select {
-	case <-s.accepted:
-	case <-ctx.Done():
-		_ = s.listener.Close()
-		return errors.Wrap(ctx.Err(), "shut down HTTP server")
-	}
 	ticker := time.NewTicker(shutdownInterval)
 	defer ticker.Stop()
-	for s.conns.closeWaiting(time.Now(), newConnGrace) > 0 {
+	for !s.closeWaiting(time.Now()) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			_ = s.listener.Close()
 			if s.conns.allSent() {
 				return nil
 			}
@@ -172,6 +167,18 @@
 	return nil
 }
 
+// closeWaiting closes the connections that wait for a request. It reports whether none was
+// left and no further one will be accepted.
+func (s *Server) closeWaiting(now time.Time) bool {
+	accepting := true
+	select {
+	case <-s.accepted:
+		accepting = false
+	default:
+	}
+	return s.conns.closeWaiting(now, newConnGrace) == 0 && !accepting
+}
+
 // DisableKeepAlives makes the server close each connection after the response to the last
 // request that has been read from it. Those that wait for a request stay open.
 func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
