choose, front: plain names for the state of a hold and the fixture of refusals

Holds.Wish is State now. The fixture of refusal_test.go and that of holds_test.go had names one letter apart (heldServer, holdServer; heldFixture, holdFixture); it is refusalFixture now. No change in what the code does or what the tests check. Evidence: tests of choose (holds) and front pass.

--- a/choose/holds.go
+++ b/choose/holds.go
@@ -140,9 +140,9 @@
 	return next
 }
 
-// Wish returns whether a start of a server is leaving, and for how long it wants no
-// requests of this daemon, 0 if it does not say.
-func (h *Holds) Wish(now time.Time, server topo.Server) (leaving bool, pause time.Duration) {
+// State returns whether a start of a server is leaving, and what is left of its pause, 0
+// if it is in none.
+func (h *Holds) State(now time.Time, server topo.Server) (leaving bool, pause time.Duration) {
 	known := h.holds[keyOf(server)]
 	return known.leaving, max(known.pausedUntil.Sub(now), 0)
 }
--- a/front/holds.go
+++ b/front/holds.go
@@ -118,7 +118,7 @@
 	defer s.mutex.Unlock()
 	s.holds.Sweep(now, servers)
 	for key, hold := range s.observed {
-		leaving, pause := s.holds.Wish(now, topo.Server{ID: key.server, Born: key.born})
+		leaving, pause := s.holds.State(now, topo.Server{ID: key.server, Born: key.born})
 		server, listed := servers[key.server]
 		switch {
 		case key.kind == holdPause && pause <= 0:
--- a/front/refusal_test.go
+++ b/front/refusal_test.go
@@ -24,10 +24,10 @@
 	"dandeliondoor/wire"
 )
 
-// heldServer is a server that refuses requests with a Retry-After header, or says that it
+// refusingServer is a server that refuses requests with a Retry-After header, or says that it
 // leaves. Arrivals counts the requests that reached it, and pausedUntil is the end of its
 // pause in Unix nanoseconds.
-type heldServer struct {
+type refusingServer struct {
 	pause       time.Duration
 	leaving     bool
 	unreachable bool
@@ -37,7 +37,7 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *heldServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *refusingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.arrivals.Add(1)
 	header := w.Header()
 	header.Set(proto.HeaderRequestID, r.Header.Get(proto.HeaderRequestID))
@@ -54,17 +54,17 @@
 	header.Set(platform.HeaderSignature, "signed")
 }
 
-// slotWait is the time for which the requests of a heldFixture wait for a server.
+// slotWait is the time for which the requests of a refusalFixture wait for a server.
 const slotWait = time.Second
 
-// heldFixture is a daemon with servers of one service, to each of which a request goes
+// refusalFixture is a daemon with servers of one service, to each of which a request goes
 // once.
-type heldFixture struct {
+type refusalFixture struct {
 	caller *httptest.Server
 	count  int
 }
 
-func newHeldFixture(t *testing.T, servers ...*heldServer) *heldFixture {
+func newRefusalFixture(t *testing.T, servers ...*refusingServer) *refusalFixture {
 	t.Helper()
 	var entries []topo.Server
 	for i, server := range servers {
@@ -73,21 +73,21 @@
 		if server.unreachable {
 			listener.Close()
 		}
-		entries = append(entries, heldEntry(i, listener))
+		entries = append(entries, entryOf(i, listener))
 	}
-	return newEntryFixture(t, slotWait, entries)
+	return newRefusalFixtureOf(t, slotWait, entries)
 }
 
-func heldEntry(index int, listener *httptest.Server) topo.Server {
+func entryOf(index int, listener *httptest.Server) topo.Server {
 	address := netip.MustParseAddrPort(listener.Listener.Addr().String())
 	return topo.Server{ID: fmt.Sprintf("i-%d", index), Service: "souk", Address: address, Slots: 3, Born: 1}
 }
 
-// newEntryFixture is the same for the servers of a list. Requests wait for a server for
+// newRefusalFixtureOf is the same for the servers of a list. Requests wait for a server for
 // the given time.
-func newEntryFixture(t *testing.T, wait time.Duration, entries []topo.Server) *heldFixture {
+func newRefusalFixtureOf(t *testing.T, wait time.Duration, entries []topo.Server) *refusalFixture {
 	t.Helper()
-	f := &heldFixture{}
+	f := &refusalFixture{}
 	view := &feed.View{
 		Table: topo.NewRouteTable(&topo.Config{Version: 1, Routes: []topo.Route{{
 			Name: "bales", Host: "souk.example", Prefix: "/bales/", Timeout: 20 * time.Second, Objective: 8 * wait, Attempts: 1,
@@ -112,14 +112,14 @@
 	return f
 }
 
-// heldResponse is the daemon's response to a caller.
-type heldResponse struct {
+// refusal is the daemon's response to a caller.
+type refusal struct {
 	status     int
 	retryAfter time.Duration
 	took       time.Duration
 }
 
-func (f *heldFixture) send(t *testing.T) heldResponse {
+func (f *refusalFixture) send(t *testing.T) refusal {
 	t.Helper()
 	f.count++
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("%s/bales/%d", f.caller.URL, f.count), nil)
@@ -134,7 +134,7 @@
 		t.Fatal(err)
 	}
 	response.Body.Close()
-	got := heldResponse{status: response.StatusCode, took: time.Since(start)}
+	got := refusal{status: response.StatusCode, took: time.Since(start)}
 	if value := response.Header.Get("Retry-After"); value != "" {
 		seconds, err := strconv.ParseFloat(value, 64)
 		if err != nil {
@@ -152,7 +152,7 @@
 	t.Parallel()
 	for _, test := range []struct {
 		name    string
-		servers []*heldServer
+		servers []*refusingServer
 		// minRetry and maxRetry bound the Retry-After of a refusal.
 		minRetry time.Duration
 		maxRetry time.Duration
@@ -160,26 +160,26 @@
 	}{
 		{
 			name: "all leaving", minRetry: 100 * time.Millisecond, maxRetry: time.Second,
-			servers: []*heldServer{{leaving: true}, {leaving: true}, {leaving: true}},
+			servers: []*refusingServer{{leaving: true}, {leaving: true}, {leaving: true}},
 		},
 		{
 			name: "all leaving but one in a pause", minRetry: 30 * time.Second, maxRetry: time.Minute,
-			servers: []*heldServer{{leaving: true}, {pause: time.Minute}, {leaving: true}},
+			servers: []*refusingServer{{leaving: true}, {pause: time.Minute}, {leaving: true}},
 		},
-		{name: "all leaving but one", servers: []*heldServer{{leaving: true}, {}, {leaving: true}}, served: true},
+		{name: "all leaving but one", servers: []*refusingServer{{leaving: true}, {}, {leaving: true}}, served: true},
 		{
 			name: "all paused", minRetry: 30 * time.Second, maxRetry: time.Minute,
-			servers: []*heldServer{{pause: time.Hour}, {pause: time.Minute}, {pause: 2 * time.Minute}},
+			servers: []*refusingServer{{pause: time.Hour}, {pause: time.Minute}, {pause: 2 * time.Minute}},
 		},
-		{name: "all paused but one", servers: []*heldServer{{pause: time.Hour}, {pause: time.Minute}, {}}, served: true},
+		{name: "all paused but one", servers: []*refusingServer{{pause: time.Hour}, {pause: time.Minute}, {}}, served: true},
 		{
 			name: "one paused, one unreachable", minRetry: 100 * time.Millisecond, maxRetry: 5 * time.Second,
-			servers: []*heldServer{{pause: time.Hour}, {unreachable: true}},
+			servers: []*refusingServer{{pause: time.Hour}, {unreachable: true}},
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			f := newHeldFixture(t, test.servers...)
+			f := newRefusalFixture(t, test.servers...)
 			held := make([]int64, len(test.servers))
 			for range 12 {
 				f.send(t)
@@ -220,9 +220,9 @@
 func TestRetryAfterOfRefused(t *testing.T) {
 	t.Parallel()
 	const pause = 5 * time.Second
-	server := &heldServer{pause: pause}
-	f := newHeldFixture(t, server)
-	var last heldResponse
+	server := &refusingServer{pause: pause}
+	f := newRefusalFixture(t, server)
+	var last refusal
 	for i := range 50 {
 		last = f.send(t)
 		received := time.Now()
@@ -247,8 +247,8 @@
 // again while they wait for one.
 func TestPauseEndsWithinWait(t *testing.T) {
 	t.Parallel()
-	server := &heldServer{pause: slotWait / 4}
-	f := newHeldFixture(t, server)
+	server := &refusingServer{pause: slotWait / 4}
+	f := newRefusalFixture(t, server)
 	if response := f.send(t); response.status != http.StatusServiceUnavailable {
 		t.Fatalf("status %d", response.status)
 	}
@@ -263,7 +263,7 @@
 func TestLastServerOfParts(t *testing.T) {
 	t.Parallel()
 	const count, last = 1000, "i-500"
-	leaving, other := &heldServer{leaving: true}, &heldServer{}
+	leaving, other := &refusingServer{leaving: true}, &refusingServer{}
 	listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(platform.HeaderInstance) == last {
 			other.ServeHTTP(w, r)
@@ -274,9 +274,9 @@
 	t.Cleanup(listener.Close)
 	var entries []topo.Server
 	for i := range count {
-		entries = append(entries, heldEntry(i, listener))
+		entries = append(entries, entryOf(i, listener))
 	}
-	f := newEntryFixture(t, 100*time.Millisecond, entries)
+	f := newRefusalFixtureOf(t, 100*time.Millisecond, entries)
 	for leaving.arrivals.Load() < count-1 && f.count < 10*count {
 		f.send(t)
 	}
