--- a/soak/caller.go
+++ b/soak/caller.go
@@ -32,13 +32,13 @@
 )
 
 // call is one request of a caller and its result. limit is the timeout of its route,
-// lastByteAt when its last byte was sent, or zero if it was not, and endedAt when the
-// response was complete or the connection ended, and begunAt when the head of a response
-// had come, or zero. status is 0 if there was no complete
-// response; cut says that then the daemon ended the connection. kept says that the connection had been used before, behind
-// that an earlier request on it had no response yet, and signed that the response is a
-// server's. abandoned says that the caller ended the request early on purpose, and
-// planned that it was sent in a round with planned maintenance only.
+// lastByteAt when its last byte was sent, or zero if it was not, begunAt when the head of a
+// response had come, or zero, and endedAt when the response was complete or the connection
+// ended. status is 0 if there was no complete response; cut says that then the daemon ended
+// the connection. kept says that the connection had been used before, behind that an
+// earlier request on it had no response yet, and signed that the response is a server's.
+// abandoned says that the caller ended the request early on purpose, and planned that it
+// was sent in a round with planned maintenance only.
 type call struct {
 	id         string
 	method     string
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -47,7 +47,8 @@
 // Report is the result of a soak. Cut counts the requests of which the daemon ended the
 // connection without a response, and CutPassed those among them that reached a server.
 // Announcing counts the responses that passed on a server's announcement that it leaves,
-// and Rejected those that asked a daemon for a pause. Stall is the longest time for which the soak's own process did not run.
+// and Rejected those that asked a daemon for a pause. Stall is the longest time for which
+// the soak's own process did not run.
 type Report struct {
 	Served    int
 	Unserved  int
