admin: a stop ends although an operator's connection is still open

Without effect on requests, but the process never exited: kernel.Stop waits for the operators' port, whose Shutdown gives up after a second, and then for Serve, which waits for connections that nobody closes any more, and whose context never ends. A part of a request's head, or a connection that is a moment old, was enough, and since httpd lingers until delivery, a scraper that has gone without a word. Such a daemon is killed at the end of its grace, and the line 'stopped' is missing. Ruled out: the callers' port and the probe, whose Serve has a context that ends.

The context of Serve now ends after Shutdown, which closes what is left.

--- a/admin/service.go
+++ b/admin/service.go
@@ -68,7 +68,9 @@
 func (s *Service) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
 	s.kernel = k
 	return kernel.Run(ctx, func(ctx context.Context) error {
-		served := kernel.Run(context.WithoutCancel(ctx), s.server.Serve)
+		serveCtx, abort := context.WithCancel(context.WithoutCancel(ctx))
+		defer abort()
+		served := kernel.Run(serveCtx, s.server.Serve)
 		select {
 		case err := <-served:
 			return err
@@ -76,7 +78,9 @@
 		}
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
-		return errors.Join(s.server.Shutdown(shutdownCtx), <-served)
+		err := s.server.Shutdown(shutdownCtx)
+		abort()
+		return errors.Join(err, <-served)
 	}), nil
 }
 
