httpd: a connection is not closed as idle while its response is on its way

What callers saw: a response cut short by a reset. The idle limit runs from the moment at which the response was handed to the kernel; a slow caller may still be receiving it. If its next request arrives behind the close, the kernel resets the connection and drops what is left.

--- a/httpd/caller_conn.go
+++ b/httpd/caller_conn.go
@@ -414,6 +414,11 @@
 	return c.err == nil && len(c.unread) == 0 && c.parser.inHead && c.parser.heads == c.finished
 }
 
+// isDelivering reports whether the last response may still be on its way.
+func (c *callerConn) isDelivering(now time.Time) bool {
+	return now.Sub(c.waitingSince) < deliveryTimeout && !delivered(c.Conn)
+}
+
 // closeExpired closes the connection if it has waited for a request, or for the rest of
 // a head, longer than the limits allow.
 func (c *callerConn) closeExpired(now time.Time, limits Limits) {
@@ -421,7 +426,7 @@
 		switch {
 		case c.isWaiting() && c.finished == 0 && now.Sub(c.waitingSince) > limits.HeaderTimeout:
 			return ErrHeaderTimeout
-		case c.isWaiting() && c.finished > 0 && now.Sub(c.waitingSince) > max(limits.IdleTimeout, c.idleLimit):
+		case c.isWaiting() && c.finished > 0 && now.Sub(c.waitingSince) > max(limits.IdleTimeout, c.idleLimit) && !c.isDelivering(now):
 			return ErrIdle
 		case c.isWaitingForHead() && now.Sub(c.headSince) > limits.HeaderTimeout:
 			return ErrHeaderTimeout
@@ -435,13 +440,10 @@
 // time for its first request, and one with a response on its way for that.
 func (c *callerConn) closeWaiting(now time.Time, newConnGrace time.Duration) {
 	c.closeIf(func() error {
-		waited := now.Sub(c.waitingSince)
 		switch {
-		case !c.isWaiting():
-			return nil
-		case c.finished == 0 && waited < newConnGrace:
+		case !c.isWaiting(), c.isDelivering(now):
 			return nil
-		case waited < deliveryTimeout && !delivered(c.Conn):
+		case c.finished == 0 && now.Sub(c.waitingSince) < newConnGrace:
 			return nil
 		default:
 			return ErrServerClosed
--- a/httpd/reset_test.go
+++ b/httpd/reset_test.go
@@ -60,6 +60,10 @@
 		{name: "HTTP/1.0", sent: "GET /large HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", pause: short},
 		{name: "last response, slow caller", sent: "GET /large HTTP/1.1\r\nHost: souk.example\r\nConnection: close\r\n\r\n", pause: long},
 		{name: "shutdown", sent: largeRequest, pause: short, end: func(ctx context.Context, server *httpd.Server) error { return server.Shutdown(ctx) }},
+		{name: "idle", sent: largeRequest, pause: short, end: func(_ context.Context, server *httpd.Server) error {
+			server.CloseExpired(time.Now(), httpd.Limits{IdleTimeout: time.Millisecond})
+			return nil
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
