admin: an operator's connection does not hold up the end of a stop

What callers saw: nothing, if the process exits in time; a platform that ends it at its limit may cut what is left.

Cause: the operators' port waited up to a second for a connection that is about to bring its first request, or has brought a part of one, while a stop leaves a quarter of a second for the exit; that it had one ended the stop with an error.

Change: it waits 0.1 s, and ends without an error.

Evidence: TestStopBesideOpenRequest failed before (1.0 s, with an error) and passes.

--- a/admin/service.go
+++ b/admin/service.go
@@ -20,8 +20,9 @@
 // Name is the name of the service in the kernel.
 const Name = "operators"
 
-// shutdownTimeout limits the wait for operators' requests in flight at shutdown.
-const shutdownTimeout = time.Second
+// shutdownTimeout limits the wait for operators' requests in flight at shutdown. It is a
+// part of the time that a stop leaves for the exit of the process.
+const shutdownTimeout = 100 * time.Millisecond
 
 // Readiness returns nil if the daemon is ready for requests, and otherwise the reason
 // why it is not.
@@ -79,6 +80,9 @@
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
 		err := s.server.Shutdown(shutdownCtx)
+		if errors.Is(err, context.DeadlineExceeded) {
+			err = nil // An operator's open connection is no fault of the stop.
+		}
 		abort()
 		return errors.Join(err, <-served)
 	}), nil
--- a/admin/stop_test.go
+++ b/admin/stop_test.go
@@ -15,7 +15,8 @@
 )
 
 // TestStopBesideOpenRequest stops the operators' port while an operator has sent a part of a
-// request. It guards against a process that never exits because of that connection.
+// request. It guards against a process that never exits, exits after the limit of its stop,
+// or with an error, because of that connection.
 func TestStopBesideOpenRequest(t *testing.T) {
 	t.Parallel()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -49,9 +50,13 @@
 	if _, err := conn.Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
+	began := time.Now()
 	cancel()
 	select {
-	case <-ended:
+	case err := <-ended:
+		if took := time.Since(began); err != nil || took > time.Second {
+			t.Errorf("the service ended after %s with %v", took, err)
+		}
 	case <-time.After(20 * time.Second):
 		t.Error("the service did not end")
 	}
