entry: the end of a stop keeps the contexts of requests behind a read body

What callers saw: with serve, a request that had been read behind another one on its connection got no response at the end of a stop, but the end of the connection behind the first response.

Cause: the end sets a read deadline, since an attempt ends only when the body does. Behind the body, that ends the context of the connection, and a connection whose context has ended is not kept any more.

Change: the deadline is set only if the body has not been read to its end.

--- a/entry/service.go
+++ b/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -107,10 +108,16 @@
 	defer s.inFlight.Add(-1)
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
+	body := &trackedBody{ReadCloser: r.Body}
+	body.ended.Store(r.ContentLength == 0)
+	r.Body = body
 	detach := s.whenStopping(func() {
 		cancel(errStopping)
-		// An attempt ends only when the body does.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		if !body.ended.Load() {
+			// An attempt ends only when the body does. Behind a body, a deadline would end
+			// the contexts of further requests that have been read.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		}
 	})
 	defer detach()
 	if s.stopping.Load() {
@@ -120,6 +127,22 @@
 	s.handler.serve(ctx, w, r)
 }
 
+// trackedBody is the body of a request. Ended is set once it has been read to its end.
+type trackedBody struct {
+	io.ReadCloser
+
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(data []byte) (int, error) {
+	count, err := b.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return count, err
+}
+
 // State is the state dump of the service.
 type State struct {
 	Draining bool              `yaml:"draining"`
