front: a hold is looked for from the moment it is recorded

What callers saw: nothing; for some microseconds after the first hold of a daemon was recorded and logged, a request could be sent to its server.

Cause: the flag that says whether any server has asked for anything was set last, behind the line in the log.

Change: it is set first; whoever looks then waits for the mutex.

--- a/front/holds.go
+++ b/front/holds.go
@@ -78,6 +78,7 @@
 	if !report.Leaving && report.RetryAfter <= 0 {
 		return
 	}
+	s.recorded.Store(true) // Before the hold is known, so that no look at it is left out.
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if report.Leaving {
@@ -88,7 +89,6 @@
 		s.holds.Pause(now, server, report.RetryAfter)
 		s.begin(now, observedKey{server: server.ID, born: server.Born, kind: holdPause}, requestID, report)
 	}
-	s.recorded.Store(true)
 }
 
 // begin logs and counts a hold, unless that was done already.
