upconn: TestDialError connects to a port that no other process gets

Cause: it closed a listener on a port that the system had assigned and connected to it. Another process got the port meanwhile: once, with 40 processes of the tests at once, its response was read ('malformed HTTP status code'). Two of these processes did not end; a request without a limit to a listener that does not respond would explain it, but was not seen.

Change: the port is one of a block that programs reserve, below those that the system assigns.

--- a/upconn/conn_test.go
+++ b/upconn/conn_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandeliondoor/fakes"
 	"dandeliondoor/kernel"
 	"dandeliondoor/upconn"
 )
@@ -205,13 +206,14 @@
 // DialError, which implies that no part of the request was sent.
 func TestDialError(t *testing.T) {
 	t.Parallel()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// No other process listens there, as one may on a port that the system assigns.
+	ports := fakes.NewPorts(32000, 32700)
+	defer ports.Close()
+	address, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	target := upconn.Target{Address: netip.MustParseAddrPort(listener.Addr().String())}
-	listener.Close()
-	_, err = do(context.Background(), upconn.NewPool(func() {}), target, "0")
+	_, err = do(context.Background(), upconn.NewPool(func() {}), upconn.Target{Address: address}, "0")
 	var dialErr *upconn.DialError
 	if !errors.As(err, &dialErr) {
 		t.Fatalf("got error %v, want a DialError", err)
