--- a/review/stand/forged_entry.go
+++ b/review/stand/forged_entry.go
@@ -28,47 +28,70 @@
 	busyWork = 400 * time.Millisecond
 )
 
-// runForgedEntry has another writer store an entry without the field version under the ID of a
-// server. Later the server drains, and ends after a while.
+// runForgedEntry has another writer store an entry without the field version, which says that a
+// server of the second service belongs to the first one.
 func runForgedEntry(ctx context.Context, l *lab, trouble bool) (bool, error) {
 	if err := l.publish(); err != nil {
 		return false, err
 	}
-	servers, err := l.startUpstreams(serverCount)
+	if _, err := l.startUpstreams(serverCount); err != nil {
+		return false, err
+	}
+	other, err := l.startUpstream("i-other", otherService, netip.AddrPort{}, time.Now())
 	if err != nil {
 		return false, err
 	}
 	if err := l.addDaemons(daemonCount); err != nil {
 		return false, err
 	}
-	stop := l.startCallers(ctx, busyCallers)
+	stop := l.startCallers(ctx, callerCount)
 	time.Sleep(settleTime)
-	leaving := servers[0]
 	if trouble {
-		l.forge(leaving)
+		l.forge(other, serviceName)
 	}
-	time.Sleep(settleTime)
-	acknowledged := leaving.drain()
-	time.Sleep(drainingFor)
-	leaving.waitBusy(acknowledged.Add(drainTime))
-	leaving.end(true)
-	results := stop()
-	return l.lateAtDraining(leaving, acknowledged, results), nil
+	time.Sleep(forgedWatch)
+	return l.foreignRuns(other, stop()), nil
 }
 
-// forge stores an entry under the ID of a server: what the server says of itself, but without its
-// version and with a sequence number of another writer.
-func (l *lab) forge(u *upstream) {
+const (
+	forgedSequence = 1000
+	forgedWatch    = 8 * time.Second
+)
+
+// forge stores an entry under the ID of a server: what the server says of itself, but with another
+// service, without its version and with a sequence number of another writer.
+func (l *lab) forge(u *upstream, service string) {
 	u.mutex.Lock()
 	forged := u.entryLocked()
 	u.mutex.Unlock()
+	forged.Service = service
 	forged.Version = ""
 	forged.Sequence = forgedSequence
 	l.writeEntry(u.id, forged)
-	l.log.printf("another writer stores an entry under %s without a version, seq %d", u.id, forged.Sequence)
+	l.log.printf("another writer stores an entry under %s: service %s, no version, seq %d", u.id, service, forged.Sequence)
 }
 
-const forgedSequence = 1000
+// foreignRuns reports whether a server ran requests, all of which are for the service of the others. It
+// also records how many of them were answered as served.
+func (l *lab) foreignRuns(u *upstream, results []result) bool {
+	status := make(map[string]int)
+	for _, r := range results {
+		status[r.id] = r.status
+	}
+	runs, served := 0, 0
+	for _, a := range l.arrivalsOf("/") {
+		if a.server != u.id {
+			continue
+		}
+		runs++
+		if status[a.id] == http.StatusOK {
+			served++
+		}
+	}
+	l.log.printf("%d requests for service %s ran at %s of service %s; clients got a success for %d of them",
+		runs, serviceName, u.id, otherService, served)
+	return runs > 0
+}
 
 // startUpstreams starts servers of the deployment's service.
 func (l *lab) startUpstreams(count int) ([]*upstream, error) {
--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -23,9 +23,10 @@
 
 // The names in the deployment of the stand-ins.
 const (
-	host        = "souk.example"
-	serviceName = "souk"
-	zoneName    = "fes-medina"
+	host         = "souk.example"
+	serviceName  = "souk"
+	otherService = "caisse"
+	zoneName     = "fes-medina"
 )
 
 // Ports of daemons, below the usual range of ephemeral ports.
@@ -126,8 +127,8 @@
 	}
 }
 
-// publish stores the first version of the configuration: one route for requests that may run once
-// only, and one for others.
+// publish stores the first version of the configuration: routes to one service for requests that may
+// run once only and for others, and a route to another service.
 func (l *lab) publish() error {
 	targets := []topo.Target{{Service: serviceName, Weight: 1}}
 	data, err := platform.EncodeConfig(&topo.Config{
@@ -138,6 +139,9 @@
 		}, {
 			Name: "browse", Host: host, Prefix: "/browse/", Idempotent: true, Timeout: timeout, Objective: objective,
 			Attempts: maxAttempts, Priority: 2, Targets: targets,
+		}, {
+			Name: "pay", Host: host, Prefix: "/pay/", Timeout: timeout, Objective: objective,
+			Attempts: maxAttempts, Targets: []topo.Target{{Service: otherService, Weight: 1}},
 		}},
 		Limits: topo.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
