Add review case 2: after the loss of its brokers a service has none for good

review/2/run.sh: 4 of 12 machines are lost, those of the daemons that rank first as brokers of a service.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,10 +20,11 @@
 type scenario func(ctx context.Context, l *lab, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"clock":        runClock,
-	"crashes":      runCrashes,
-	"forged-entry": runForgedEntry,
-	"late-writes":  runLateWrites,
+	"clock":         runClock,
+	"crashes":       runCrashes,
+	"forged-entry":  runForgedEntry,
+	"late-writes":   runLateWrites,
+	"lost-machines": runLostMachines,
 }
 
 func main() { os.Exit(run(os.Args)) }
