Add review case 1: a request that may run once runs at two servers

review/1/run.sh: some servers send bytes that are no response on a few of their connections, and unsafe requests have bodies of 3,000 bytes.

The case of a fleet that lost its counts of crashing requests (a store that is down while all daemons are killed) gives way to it; REPORT.md keeps what was seen. The cases are renumbered.

--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -1,25 +1,14 @@
 package main
 
 import (
-	"context"
 	"net/http"
 	"net/netip"
-	"syscall"
 	"time"
 )
 
-// Times of the scenario, from the begin of the outage.
 const (
-	outage     = 8 * time.Second
-	killAfter  = 6500 * time.Millisecond
-	resumeAt   = 13 * time.Second
 	crashPause = 2 * time.Second
-	crashWatch = 60 * time.Second
 	serverDown = 3 * time.Second
-)
-
-const (
-	crashServers = 12
 	// maxRetries is how many retries of a request that crashes servers may reach servers later
 	// than contactTime after it has crashed maxCrashes of them.
 	maxRetries  = 3
@@ -27,55 +16,6 @@
 	crashTarget = "/reserve/" + crashPath
 )
 
-// runCrashes has a client send a request that crashes each server that runs it, again and again. The
-// store is down while it crashes the first three, and before the store is back, all daemons are
-// killed.
-func runCrashes(ctx context.Context, l *lab, trouble bool) (bool, error) {
-	l.onCrash = l.replaceCrashed()
-	if err := l.publish(); err != nil {
-		return false, err
-	}
-	if _, err := l.startUpstreams(crashServers); err != nil {
-		return false, err
-	}
-	if err := l.addDaemons(daemonCount); err != nil {
-		return false, err
-	}
-	stop := l.startCallers(ctx, callerCount)
-	time.Sleep(settleTime)
-	began := time.Now()
-	disrupted := make(chan error, 1)
-	go func() { disrupted <- l.loseCounts(trouble) }()
-	turn := 0
-	for ; turn < maxCrashes; turn++ {
-		l.sendCrash(turn)
-		time.Sleep(crashPause)
-	}
-	time.Sleep(resumeAt - time.Since(began))
-	err := <-disrupted
-	touchedFrom := time.Now()
-	for ; time.Since(began) < crashWatch; turn++ {
-		l.sendCrash(turn)
-		time.Sleep(crashPause)
-	}
-	l.recordLost(touchedFrom, stop())
-	return l.tooManyRetries(touchedFrom), err
-}
-
-// loseCounts takes the store down and kills all daemons before it is back.
-func (l *lab) loseCounts(trouble bool) error {
-	if !trouble {
-		return nil
-	}
-	began := time.Now()
-	l.setStoreDown(true)
-	time.Sleep(killAfter)
-	err := l.restart(l.daemons, syscall.SIGKILL)
-	time.Sleep(outage - time.Since(began))
-	l.setStoreDown(false)
-	return err
-}
-
 // replaceCrashed returns a function that ends a server which a request has crashed, and starts it
 // again after a while with a new ID.
 func (l *lab) replaceCrashed() func(u *upstream) {
--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -55,6 +55,8 @@
 // lab is a small deployment: a store and servers in this process, and daemons as processes of
 // their own.
 type lab struct {
+	counters
+
 	store        *fakes.Store
 	storeAddress netip.AddrPort
 	ports        *fakes.Ports
@@ -63,11 +65,10 @@
 	daemons      []*daemon
 	onCrash      func(u *upstream)
 
-	mutex     sync.Mutex
-	storeDown bool
-	lateBy    time.Duration
-	beats     map[string]time.Time
-	arrivals  []arrival
+	mutex    sync.Mutex
+	lateBy   time.Duration
+	beats    map[string]time.Time
+	arrivals []arrival
 }
 
 // recorder writes the lines of record.txt.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,10 +21,10 @@
 
 var scenarios = map[string]scenario{
 	"clock":         runClock,
-	"crashes":       runCrashes,
 	"forged-entry":  runForgedEntry,
 	"late-writes":   runLateWrites,
 	"lost-machines": runLostMachines,
+	"spoiled":       runSpoiled,
 }
 
 func main() { os.Exit(run(os.Args)) }
--- a/review/stand/upstream.go
+++ b/review/stand/upstream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandeliondoor/fakes"
@@ -46,6 +47,10 @@
 	service string
 	address netip.AddrPort
 
+	faulty   atomic.Bool
+	spoiled  atomic.Int64
+	answered atomic.Int64
+
 	mutex    sync.Mutex
 	server   *http.Server
 	born     int64
@@ -90,7 +95,7 @@
 		return nil, err
 	}
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: headTimeout, IdleTimeout: idleClose, ConnState: u.track}
-	go func() { _ = u.server.Serve(listener) }()
+	go func() { _ = u.server.Serve(spoilingListener{Listener: listener, upstream: u}) }()
 	go u.keepRegistered()
 	l.log.printf("server %s (%s) starts at %s, born %d", id, service, u.address, u.born)
 	return u, nil
@@ -227,6 +232,7 @@
 	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(idleClose.Seconds())))
 	select {
 	case <-timer.C:
+		u.answered.Add(1)
 		fmt.Fprintf(w, "%s served a request with a body of %d bytes\n", u.id, len(body))
 	case <-deadline.C:
 		w.WriteHeader(http.StatusGatewayTimeout)
@@ -275,7 +281,7 @@
 	return fmt.Sprintf("%d,%d,%d", u.running, u.waiting, slots)
 }
 
-// writeEntry stores the entry of a server, unless the store is down.
+// writeEntry stores the entry of a server.
 func (l *lab) writeEntry(id string, registration entry) {
 	data, err := json.Marshal(registration)
 	if err != nil {
@@ -283,9 +289,6 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.storeDown {
-		return
-	}
 	l.beats[id] = time.Now()
 	l.store.Put(platform.ServerTopic, id, data)
 }
@@ -293,19 +296,14 @@
 func (l *lab) removeEntry(id string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.storeDown {
-		delete(l.beats, id)
-		l.store.Put(platform.ServerTopic, id, nil)
-	}
+	delete(l.beats, id)
+	l.store.Put(platform.ServerTopic, id, nil)
 }
 
 // expireEntries removes the entries of servers that have been silent for three heartbeats.
 func (l *lab) expireEntries(now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.storeDown {
-		return
-	}
 	for id, at := range l.beats {
 		if now.Sub(at) > 3*heartbeatInterval {
 			delete(l.beats, id)
@@ -315,25 +313,13 @@
 	}
 }
 
-// setStoreDown makes the store refuse all calls, or serve again. The servers' entries don't expire
-// meanwhile; the servers write them again at once.
-func (l *lab) setStoreDown(down bool) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.storeDown = down
-	l.store.Faults.Set(fakes.StoreFaults{Refuse: down})
-	if !down {
-		for id := range l.beats {
-			l.beats[id] = time.Now()
-		}
-	}
-	l.log.printf("store down: %t", down)
-}
-
 func (l *lab) ran(a arrival) {
 	l.mutex.Lock()
 	l.arrivals = append(l.arrivals, a)
 	l.mutex.Unlock()
+	if l.quiet {
+		return
+	}
 	l.log.printf("%s runs %s %s", a.server, a.id, a.path)
 }
 
