--- a/review/stand/spoiled.go
+++ b/review/stand/spoiled.go
@@ -198,10 +198,24 @@
 		}
 		l.log.printf("%s ran %d times; the client got %d", id, len(runs), answers.status[id])
 	}
+	l.log.printf("%d requests were answered 503 and had run", l.ranThoughRefused(answers))
 	l.log.printf("%d requests that may run once ran more often", len(twice))
 	return len(twice) > 0
 }
 
+// ranThoughRefused returns how many requests ran that were answered by the promise that they never will.
+func (l *lab) ranThoughRefused(answers *tally) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	count := 0
+	for _, a := range l.arrivals {
+		if answers.status[a.id] == http.StatusServiceUnavailable {
+			count++
+		}
+	}
+	return count
+}
+
 // spoilsNext reports whether the server is faulty and has not yet spoiled its share of the answers.
 func (u *upstream) spoilsNext() bool {
 	if !u.faulty.Load() || float64(u.spoiled.Load()+1) > spoiledShare*float64(u.answered.Load()) {
