Review: refused requests that ran, by heads made of two answers

Cause: a server that repeats the begin of an answer, late, on a connection in use makes the daemon read one head of two answers. It believes the status and the not-executed header of the first for the request of the second.

No product code is changed.

--- /dev/null
+++ b/review/rig/server.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandeliondoor/platform"
+	"dandeliondoor/proto"
+)
+
+// What a server can hold.
+const (
+	serverSlots = 3
+	serverQueue = 3
+	bodyLength  = 100
+)
+
+// server is a stand-in for a server, which writes its answers itself. While repeats is set,
+// it begins to send a share of them a second time and breaks that off. The begin arrives
+// late: where the next answer on the connection is expected.
+type server struct {
+	rig     *rig
+	id      string
+	service string
+	address netip.AddrPort
+	work    time.Duration
+	repeats atomic.Bool
+	share   float64
+	held    atomic.Int64
+	slots   chan struct{}
+
+	mutex    sync.Mutex
+	ran      map[string]int
+	sequence int64
+	born     int64
+}
+
+// addServer starts a server that registers itself, and does so again every heartbeat_s.
+func (r *rig) addServer(ctx context.Context, id, service string, work time.Duration) (*server, error) {
+	listener, address, err := listen(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{
+		rig: r, id: id, service: service, address: address, work: work,
+		slots: make(chan struct{}, serverSlots), ran: make(map[string]int), born: time.Now().UnixMilli(),
+	}
+	s.register()
+	r.running.Go(func() {
+		for pause(ctx, heartbeat) == nil {
+			s.register()
+		}
+	})
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	r.running.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			context.AfterFunc(ctx, func() { _ = conn.Close() })
+			r.running.Go(func() { s.serve(ctx, conn) })
+		}
+	})
+	return s, nil
+}
+
+// register writes the server's entry to the store.
+func (s *server) register() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sequence++
+	data, err := json.Marshal(map[string]any{
+		"service": s.service, "address": s.address.String(), "zone": "zone-0", "version": "v1", "slots": serverSlots,
+		"state": "ready", "warmup_left_s": 0.0, "seq": s.sequence, "born": s.born,
+	})
+	if err != nil {
+		return
+	}
+	s.rig.store.Put(platform.ServerTopic, s.id, data)
+}
+
+// runs returns how often the server ran each request.
+func (s *server) runs() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	counts := make(map[string]int, len(s.ran))
+	for id, count := range s.ran {
+		counts[id] = count
+	}
+	return counts
+}
+
+// serve answers the requests of one connection, one at a time.
+func (s *server) serve(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	left := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		id := request.Header.Get(proto.HeaderRequestID)
+		text := s.answer(ctx, id, request.Header.Get(platform.HeaderInstance))
+		if left != "" {
+			s.rig.logf("%s writes %q before its answer to %s", s.id, left, id)
+		}
+		if _, err := io.WriteString(conn, left+text); err != nil {
+			return
+		}
+		left = ""
+		if s.repeats.Load() && rand.Float64() < s.share {
+			left = text[:1+rand.IntN(len(text)-1)]
+		}
+	}
+}
+
+// answer runs a request, if there is room, and returns the answer.
+func (s *server) answer(ctx context.Context, id, expected string) string {
+	if expected != "" && expected != s.id {
+		return s.format(http.StatusMisdirectedRequest, "", id, "")
+	}
+	if s.held.Add(1) > serverSlots+serverQueue {
+		s.held.Add(-1)
+		return s.format(http.StatusServiceUnavailable, platform.HeaderNotRun+": 1\r\n", id, "")
+	}
+	defer s.held.Add(-1)
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
+	s.mutex.Lock()
+	s.ran[id]++
+	s.mutex.Unlock()
+	s.rig.logf("%s runs %s", s.id, id)
+	_ = pause(ctx, s.work)
+	return s.format(http.StatusOK, "", id, platform.HeaderSignature+": signed-"+id+"\r\n")
+}
+
+// format returns an answer: the status line, a header of the status, the usual ones of an
+// HTTP server, and those of the platform.
+func (s *server) format(status int, first, id, signature string) string {
+	body := ""
+	if status == http.StatusOK {
+		body = id + " " + s.id + " " + strings.Repeat(".", bodyLength)
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, http.StatusText(status)) + first +
+		"Date: " + time.Now().UTC().Format(http.TimeFormat) + "\r\nServer: souk/1.4\r\nContent-Type: text/plain; charset=utf-8\r\n" +
+		"Keep-Alive: timeout=10\r\n" + proto.HeaderRequestID + ": " + id + "\r\n" + signature +
+		fmt.Sprintf("%s: %d,%d,%d\r\n", platform.HeaderLoad, len(s.slots), max(s.held.Load()-serverSlots, 0), serverSlots) +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
