Review: a server that drains is used again after a change of the reader

Cause: the order of a server's heartbeats is known only to the process that reads the store. If the store does an old heartbeat late, a daemon that takes over as the reader takes it for the newest and uses the draining server again.

No product code is changed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 // the exit code.
 func run(arguments []string) int {
 	scenarios := map[string]scenario{
+		"late":   runLate,
 		"repeat": runRepeat,
 	}
 	if len(arguments) != 2 || scenarios[arguments[0]] == nil {
--- a/review/rig/repeat.go
+++ b/review/rig/repeat.go
@@ -55,7 +55,7 @@
 	if err := r.waitReady(ctx); err != nil {
 		return false, err
 	}
-	answers := r.sendPayments(ctx, func() error { return r.garble(ctx, servers[:garbledServers]) })
+	answers := r.sendPayments(ctx, r.daemons, repeatCallers, func() error { return r.garble(ctx, servers[:garbledServers]) })
 	return r.checkRuns(servers, answers), nil
 }
 
@@ -78,16 +78,16 @@
 	return nil
 }
 
-// sendPayments sends requests until a function returns, and returns the status of the
-// answer to each.
-func (r *rig) sendPayments(ctx context.Context, during func() error) map[string]int {
+// sendPayments sends requests to daemons until a function returns, and returns the status of
+// the answer to each.
+func (r *rig) sendPayments(ctx context.Context, daemons []*daemon, count int, during func() error) map[string]int {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var mutex sync.Mutex
 	var callers sync.WaitGroup
 	answers := make(map[string]int)
-	for i := range repeatCallers {
-		c := &caller{rig: r, name: fmt.Sprintf("caller-%d", i), daemon: r.daemons[i%len(r.daemons)]}
+	for i := range count {
+		c := &caller{rig: r, name: fmt.Sprintf("caller-%d", i), daemon: daemons[i%len(daemons)]}
 		callers.Go(func() {
 			defer c.close()
 			for ctx.Err() == nil {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,7 +27,8 @@
 
 // Figures of the small deployments and of the example of a configuration.
 const (
-	heartbeat     = 1500 * time.Millisecond
+	heartbeat     = 1450 * time.Millisecond // Of about heartbeat_s, 1.5 s.
+	drainDue      = 2 * time.Second
 	contact       = 3 * time.Second
 	headerLimit   = 16 << 10
 	bodyLimit     = 64 << 20
@@ -150,6 +153,7 @@
 	name      string
 	callers   netip.AddrPort
 	readiness netip.AddrPort
+	operators netip.AddrPort
 	settings  string
 	command   *exec.Cmd
 }
@@ -158,8 +162,8 @@
 func (r *rig) addDaemons(ctx context.Context, count int) error {
 	for range count {
 		d := &daemon{name: fmt.Sprintf("front-%d", len(r.daemons)+1)}
-		var peers, operators netip.AddrPort
-		for _, address := range []*netip.AddrPort{&d.callers, &d.readiness, &peers, &operators} {
+		var peers netip.AddrPort
+		for _, address := range []*netip.AddrPort{&d.callers, &d.readiness, &peers, &d.operators} {
 			port, err := r.ports.Free()
 			if err != nil {
 				return err
@@ -167,7 +171,7 @@
 			*address = port
 		}
 		d.settings = filepath.Join(r.directory, d.name+".yaml")
-		text := fmt.Sprintf(settingsFormat, d.name, len(r.daemons)%zoneCount, d.callers, d.readiness, peers, operators, r.address)
+		text := fmt.Sprintf(settingsFormat, d.name, len(r.daemons)%zoneCount, d.callers, d.readiness, peers, d.operators, r.address)
 		if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil { //nolint:gosec // In the temporary folder.
 			return errors.Wrap(err, "write settings")
 		}
@@ -209,6 +213,28 @@
 	return pause(ctx, contact+readyInterval)
 }
 
+// readsStore reports whether a daemon reads the store for others, by its status.
+func (d *daemon) readsStore(ctx context.Context) bool {
+	url := "http://" + d.operators.String() + "/v1/status"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var status struct{ Source string }
+	return json.NewDecoder(response.Body).Decode(&status) == nil && status.Source == d.name
+}
+
+// stop tells a daemon to stop.
+func (r *rig) stop(d *daemon) error {
+	r.logf("daemon %s gets SIGTERM", d.name)
+	return d.command.Process.Signal(syscall.SIGTERM)
+}
+
 // ready reports whether the readiness check of a daemon succeeds.
 func (d *daemon) ready(ctx context.Context) bool {
 	url := "http://" + d.readiness.String() + platform.ReadyPath
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,12 @@
 	bodyLength  = 100
 )
 
+// The states of a server.
+const (
+	stateDraining = "draining"
+	stateReady    = "ready"
+)
+
 // server is a stand-in for a server, which writes its answers itself. While repeats is set,
 // it begins to send a share of them a second time and breaks that off. The begin arrives
 // late: where the next answer on the connection is expected.
@@ -38,12 +45,18 @@
 	repeats atomic.Bool
 	share   float64
 	held    atomic.Int64
+	lateBy  atomic.Int64
 	slots   chan struct{}
+	exit    context.CancelFunc
 
-	mutex    sync.Mutex
-	ran      map[string]int
-	sequence int64
-	born     int64
+	mutex     sync.Mutex
+	ran       map[string]int
+	state     string
+	drainedAt time.Time
+	lateAt    time.Time
+	late      []string
+	sequence  int64
+	born      int64
 }
 
 // addServer starts a server that registers itself, and does so again every heartbeat_s.
@@ -54,13 +67,16 @@
 	}
 	s := &server{
 		rig: r, id: id, service: service, address: address, work: work,
-		slots: make(chan struct{}, serverSlots), ran: make(map[string]int), born: time.Now().UnixMilli(),
+		slots: make(chan struct{}, serverSlots), ran: make(map[string]int), born: time.Now().UnixMilli(), state: stateReady,
 	}
-	s.register()
+	ctx, s.exit = context.WithCancel(ctx)
+	s.register(0)
 	r.running.Go(func() {
 		for pause(ctx, heartbeat) == nil {
-			s.register()
+			s.register(time.Duration(s.lateBy.Swap(0)))
 		}
+		// The store removes the entry of a server that has left.
+		r.store.Put(platform.ServerTopic, s.id, nil)
 	})
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	r.running.Go(func() {
@@ -76,19 +92,81 @@
 	return s, nil
 }
 
-// register writes the server's entry to the store.
-func (s *server) register() {
+// register writes the server's entry to the store. A write that the store does late is
+// executed only after a delay.
+func (s *server) register(delay time.Duration) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.sequence++
+	sequence, state := s.sequence, s.state
+	s.mutex.Unlock()
 	data, err := json.Marshal(map[string]any{
 		"service": s.service, "address": s.address.String(), "zone": "zone-0", "version": "v1", "slots": serverSlots,
-		"state": "ready", "warmup_left_s": 0.0, "seq": s.sequence, "born": s.born,
+		"state": state, "warmup_left_s": 0.0, "seq": sequence, "born": s.born,
 	})
 	if err != nil {
 		return
 	}
-	s.rig.store.Put(platform.ServerTopic, s.id, data)
+	put := func() {
+		s.rig.store.Put(platform.ServerTopic, s.id, data)
+		if state == stateDraining || delay > 0 {
+			s.rig.logf("store: %s is %s, heartbeat %d", s.id, state, sequence)
+		}
+	}
+	if delay == 0 {
+		put()
+		return
+	}
+	s.rig.logf("store: heartbeat %d of %s, %s, gets no answer and is done %s later", sequence, s.id, state, delay)
+	s.mutex.Lock()
+	s.lateAt = time.Now()
+	s.mutex.Unlock()
+	time.AfterFunc(delay, put)
+}
+
+// drain makes the server report that it leaves.
+func (s *server) drain() {
+	s.mutex.Lock()
+	s.state, s.drainedAt = stateDraining, time.Now()
+	s.mutex.Unlock()
+	s.register(0)
+}
+
+// lostWriteAt returns when the server sent the heartbeat that the store does late, zero
+// before that.
+func (s *server) lostWriteAt() time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lateAt
+}
+
+// recordLate records a request that reaches the server later than drain_s after the store
+// accepted that it drains.
+func (s *server) recordLate(id string) {
+	since := s.since()
+	if since <= drainDue {
+		return
+	}
+	s.rig.logf("BROKEN: %s reaches %s %.2f s after the store accepted that it drains", id, s.id, since.Seconds())
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.late = append(s.late, id)
+}
+
+// lateRequests returns the requests that came too late.
+func (s *server) lateRequests() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.late)
+}
+
+// since returns how long ago the store accepted that the server drains, 0 if it has not.
+func (s *server) since() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.drainedAt.IsZero() {
+		return 0
+	}
+	return time.Since(s.drainedAt)
 }
 
 // runs returns how often the server ran each request.
@@ -117,6 +195,9 @@
 		}
 		id := request.Header.Get(proto.HeaderRequestID)
 		text := s.answer(ctx, id, request.Header.Get(platform.HeaderInstance))
+		if text == "" {
+			return
+		}
 		if left != "" {
 			s.rig.logf("%s writes %q before its answer to %s", s.id, left, id)
 		}
@@ -130,11 +211,13 @@
 	}
 }
 
-// answer runs a request, if there is room, and returns the answer.
+// answer runs a request, if there is room, and returns the answer. It is empty if the server
+// exits meanwhile.
 func (s *server) answer(ctx context.Context, id, expected string) string {
 	if expected != "" && expected != s.id {
 		return s.format(http.StatusMisdirectedRequest, "", id, "")
 	}
+	s.recordLate(id)
 	if s.held.Add(1) > serverSlots+serverQueue {
 		s.held.Add(-1)
 		return s.format(http.StatusServiceUnavailable, platform.HeaderNotRun+": 1\r\n", id, "")
@@ -146,7 +229,10 @@
 	s.ran[id]++
 	s.mutex.Unlock()
 	s.rig.logf("%s runs %s", s.id, id)
-	_ = pause(ctx, s.work)
+	if pause(ctx, s.work) != nil {
+		s.rig.logf("%s exits while it runs %s", s.id, id)
+		return ""
+	}
 	return s.format(http.StatusOK, "", id, platform.HeaderSignature+": signed-"+id+"\r\n")
 }
 
