Review: an entry of another writer sends requests to another service

Cause: an entry without the start of its server counts as one from 1970. A running reader of the store rejects it; one that has just been restarted takes it, and daemons use what their broker assigns without a look at its service.

No product code is changed.

--- a/review/rig/late.go
+++ b/review/rig/late.go
@@ -57,19 +57,10 @@
 	if err := r.waitReady(ctx); err != nil {
 		return false, err
 	}
-	var reader *daemon
-	var others []*daemon
-	for _, d := range r.daemons {
-		if reader == nil && d.readsStore(ctx) {
-			reader = d
-			continue
-		}
-		others = append(others, d)
-	}
-	if reader == nil {
-		return false, errNoReader
+	reader, others, err := r.findReader(ctx)
+	if err != nil {
+		return false, err
 	}
-	r.logf("%s reads the store; the callers send to the others", reader.name)
 	leaving := servers[0]
 	answers := r.sendPayments(ctx, others, lateCallers, func() error { return r.leaveLate(ctx, leaving, reader) })
 	late := leaving.lateRequests()
@@ -83,6 +74,22 @@
 	return len(late) > 0, nil
 }
 
+// findReader returns the daemon that reads the store for others, and these.
+func (r *rig) findReader(ctx context.Context) (reader *daemon, others []*daemon, err error) {
+	for _, d := range r.daemons {
+		if reader == nil && d.readsStore(ctx) {
+			reader = d
+			continue
+		}
+		others = append(others, d)
+	}
+	if reader == nil {
+		return nil, nil, errNoReader
+	}
+	r.logf("%s reads the store; the callers send to the others", reader.name)
+	return reader, others, nil
+}
+
 // leaveLate lets a server leave, and a daemon stop meanwhile.
 func (r *rig) leaveLate(ctx context.Context, leaving *server, reader *daemon) error {
 	if r.trouble {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 // the exit code.
 func run(arguments []string) int {
 	scenarios := map[string]scenario{
+		"forged": runForged,
 		"late":   runLate,
 		"repeat": runRepeat,
 	}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -108,12 +109,22 @@
 		return nil, errors.Join(err, r.close())
 	}
 	r.address = address
-	server := &http.Server{Handler: r.store.Handler(), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: r.recordLists(r.store.Handler()), ReadHeaderTimeout: headerTimeout}
 	r.running.Go(func() { _ = server.Serve(listener) })
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return r, nil
 }
 
+// recordLists adds a line to the record when a daemon lists the servers in the store.
+func (r *rig) recordLists(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == platform.NewestPath && request.URL.Query().Get("topic") == platform.ServerTopic {
+			r.logf("store: a daemon lists the servers")
+		}
+		handler.ServeHTTP(w, request)
+	})
+}
+
 // listen listens on a free port of the loopback address.
 func listen(ctx context.Context) (net.Listener, netip.AddrPort, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
@@ -185,7 +196,7 @@
 
 // start starts the process of a daemon. Its log goes to the temporary folder.
 func (r *rig) start(ctx context.Context, d *daemon) error {
-	log, err := os.OpenFile(d.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(d.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // In the temporary folder.
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
@@ -200,6 +211,30 @@
 	return nil
 }
 
+// kill kills the process of a daemon.
+func (r *rig) kill(d *daemon) error {
+	r.logf("daemon %s is killed", d.name)
+	if err := d.command.Process.Kill(); err != nil {
+		return errors.Wrap(err, "kill daemon")
+	}
+	_ = d.command.Wait() // It reports the signal.
+	return nil
+}
+
+// restart starts the process of a daemon that has ended. The fleet no longer starts for the
+// first time.
+func (r *rig) restart(ctx context.Context, d *daemon) error {
+	text, err := os.ReadFile(d.settings) //nolint:gosec // In the temporary folder.
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	text = bytes.Replace(text, []byte("first_start: true"), []byte("first_start: false"), 1)
+	if err := os.WriteFile(d.settings, text, 0o600); err != nil { //nolint:gosec // In the temporary folder.
+		return errors.Wrap(err, "write settings")
+	}
+	return r.start(ctx, d)
+}
+
 // waitReady waits until all daemons are ready, and for contact_s after that.
 func (r *rig) waitReady(ctx context.Context) error {
 	for _, d := range r.daemons {
@@ -216,11 +251,11 @@
 // readsStore reports whether a daemon reads the store for others, by its status.
 func (d *daemon) readsStore(ctx context.Context) bool {
 	url := "http://" + d.operators.String() + "/v1/status"
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody) //nolint:gosec // A loopback address.
 	if err != nil {
 		return false
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := http.DefaultClient.Do(request) //nolint:gosec // A loopback address.
 	if err != nil {
 		return false
 	}
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/platform"
 	"dandeliondoor/proto"
 )
@@ -25,6 +27,8 @@
 	serverSlots = 3
 	serverQueue = 3
 	bodyLength  = 100
+	// beatInterval is how often waitBeat looks.
+	beatInterval = 5 * time.Millisecond
 )
 
 // The states of a server.
@@ -54,6 +58,7 @@
 	state     string
 	drainedAt time.Time
 	lateAt    time.Time
+	beatAt    time.Time
 	late      []string
 	sequence  int64
 	born      int64
@@ -97,6 +102,7 @@
 func (s *server) register(delay time.Duration) {
 	s.mutex.Lock()
 	s.sequence++
+	s.beatAt = time.Now()
 	sequence, state := s.sequence, s.state
 	s.mutex.Unlock()
 	data, err := json.Marshal(map[string]any{
@@ -139,6 +145,38 @@
 	return s.lateAt
 }
 
+// waitBeat waits until the server has just written its entry.
+func (s *server) waitBeat(ctx context.Context) error {
+	last := s.lastBeat()
+	for s.lastBeat().Equal(last) {
+		if err := pause(ctx, beatInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *server) lastBeat() time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.beatAt
+}
+
+// forge writes an entry under the server's ID as another writer does: it names another
+// service and lacks the field born.
+func (s *server) forge(service string) error {
+	data, err := json.Marshal(map[string]any{
+		"service": service, "address": s.address.String(), "zone": "zone-0", "version": "v1", "slots": serverSlots,
+		"state": stateReady, "warmup_left_s": 0.0, "seq": 1,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode entry")
+	}
+	s.rig.store.Put(platform.ServerTopic, s.id, data)
+	s.rig.logf("store: another writer's entry of %s: %s", s.id, data)
+	return nil
+}
+
 // recordLate records a request that reaches the server later than drain_s after the store
 // accepted that it drains.
 func (s *server) recordLate(id string) {
