--- a/review/rig/forged.go
+++ b/review/rig/forged.go
@@ -55,7 +55,10 @@
 	if err != nil {
 		return false, err
 	}
-	answers := r.sendPayments(ctx, others, forgedCallers, func() error { return r.forgeEntry(ctx, servers[otherService][0], reader) })
+	answers, err := r.sendPayments(ctx, others, forgedCallers, func() error { return r.forgeEntry(ctx, servers[otherService][0], reader) })
+	if err != nil {
+		return false, err
+	}
 	for _, s := range servers[otherService] {
 		for id, count := range s.runs() {
 			broken = true
--- a/review/rig/late.go
+++ b/review/rig/late.go
@@ -62,7 +62,10 @@
 		return false, err
 	}
 	leaving := servers[0]
-	answers := r.sendPayments(ctx, others, lateCallers, func() error { return r.leaveLate(ctx, leaving, reader) })
+	answers, err := r.sendPayments(ctx, others, lateCallers, func() error { return r.leaveLate(ctx, leaving, reader) })
+	if err != nil {
+		return false, err
+	}
 	late := leaving.lateRequests()
 	lost := 0
 	for _, id := range late {
--- a/review/rig/repeat.go
+++ b/review/rig/repeat.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandeliondoor/topo"
 )
 
@@ -55,7 +57,13 @@
 	if err := r.waitReady(ctx); err != nil {
 		return false, err
 	}
-	answers := r.sendPayments(ctx, r.daemons, repeatCallers, func() error { return r.garble(ctx, servers[:garbledServers]) })
+	answers, err := r.sendPayments(ctx, r.daemons, repeatCallers, func() error { return r.garble(ctx, servers[:garbledServers]) })
+	if err != nil {
+		return false, err
+	}
+	for _, s := range servers {
+		r.logf("%s repeated a part of %d of %d answers", s.id, s.repeated, s.counted)
+	}
 	return r.checkRuns(servers, answers), nil
 }
 
@@ -78,9 +86,11 @@
 	return nil
 }
 
+var errNothingServed = errors.New("no request was served")
+
 // sendPayments sends requests to daemons until a function returns, and returns the status of
-// the answer to each.
-func (r *rig) sendPayments(ctx context.Context, daemons []*daemon, count int, during func() error) map[string]int {
+// the answer to each. It fails if the function does or no request was served.
+func (r *rig) sendPayments(ctx context.Context, daemons []*daemon, count int, during func() error) (map[string]int, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var mutex sync.Mutex
@@ -101,12 +111,18 @@
 			}
 		})
 	}
-	if err := during(); err != nil {
-		r.logf("ended early: %v", err)
-	}
+	err := during()
 	cancel()
 	callers.Wait()
-	return answers
+	if err != nil {
+		return nil, err
+	}
+	for _, status := range answers {
+		if status == http.StatusOK {
+			return answers, nil
+		}
+	}
+	return nil, errNothingServed
 }
 
 // checkRuns reports whether a request ran that was answered with a status that promises the
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -60,6 +60,8 @@
 	lateAt    time.Time
 	beatAt    time.Time
 	late      []string
+	counted   int
+	repeated  int
 	sequence  int64
 	born      int64
 }
@@ -243,12 +245,25 @@
 			return
 		}
 		left = ""
-		if s.repeats.Load() && rand.Float64() < s.share {
+		if s.repeats.Load() && s.mayRepeat() {
 			left = text[:1+rand.IntN(len(text)-1)]
 		}
 	}
 }
 
+// mayRepeat counts an answer and reports whether a part of it is repeated. Never are more
+// than the share of all answers counted so far.
+func (s *server) mayRepeat() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counted++
+	if float64(s.repeated+1) > s.share*float64(s.counted) {
+		return false
+	}
+	s.repeated++
+	return true
+}
+
 // answer runs a request, if there is room, and returns the answer. It is empty if the server
 // exits meanwhile.
 func (s *server) answer(ctx context.Context, id, expected string) string {
