upconn: a response cut by a reset during the upload isn't complete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got that part as the whole answer, with its signature.

Cause: the kernel reports a reset to one system call, whichever comes first. While a request is written, that may be the write. The read that follows then returns an end of file, which ends a body without a length. The error of the write was dropped.

Change: the state of a request keeps the first error of a write. Where the end of the connection delimits a body, that end counts only if no write has failed. A write in progress is ended and waited for, since its error may not be recorded yet. A broken pipe is no loss: the kernel returns it if the FIN came before the reset, so that the response is whole.

--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -122,7 +122,7 @@
 	c.reusable = false
 	reused := c.requests > 0
 	c.requests++
-	c.sent = &sendState{}
+	c.sent = newSendState()
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(pastDeadline) })
 	c.startWrite(request)
 	response, err := c.readResponse(request)
@@ -138,8 +138,7 @@
 // Finish records that the response body was read to its end, and determines
 // whether the connection can carry another request.
 func (c *Conn) Finish(response *http.Response) {
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	c.reusable = c.stopCancel() && framed && !response.Close && c.requestWritten() && c.reader.Buffered() == 0
+	c.reusable = c.stopCancel() && isFramed(response) && !response.Close && c.requestWritten() && c.reader.Buffered() == 0
 	if timeout, present := keepAliveTimeout(response.Header); present {
 		c.keepAlive = max(timeout-keepAliveMargin, 0)
 	}
@@ -212,6 +211,9 @@
 			}
 		case request.Matches(response.Header, c.requests == 1 && unmatched == 0):
 			c.received.unlimit()
+			if response.Body != http.NoBody && !isFramed(response) {
+				response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
+			}
 			return response, nil
 		default:
 			unmatched++
@@ -228,7 +230,7 @@
 // discardBody reads the body of a response to another request to its end and drops
 // it. It does not close the body if that is too long, since closing reads the rest.
 func discardBody(response *http.Response) error {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if !isFramed(response) {
 		return errNoLength
 	}
 	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnmatchedBody+1))
--- a/upconn/conn_test.go
+++ b/upconn/conn_test.go
@@ -24,6 +24,13 @@
 // startUpstream starts an upstream that sends one of the raw responses for each
 // request on a connection. An empty response closes the connection.
 func startUpstream(t *testing.T, responses ...string) upconn.Target {
+	t.Helper()
+	return startUpstreamThat(t, func(conn *net.TCPConn) { respond(conn, responses) })
+}
+
+// startUpstreamThat starts an upstream that serves each connection with a function, and
+// closes it when that returns.
+func startUpstreamThat(t *testing.T, serve func(conn *net.TCPConn)) upconn.Target {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,14 +43,16 @@
 			if err != nil {
 				return
 			}
-			go respond(conn, responses)
+			go func() {
+				defer conn.Close()
+				serve(conn.(*net.TCPConn))
+			}()
 		}
 	}()
 	return upconn.Target{Address: netip.MustParseAddrPort(listener.Addr().String()), ID: "i-1"}
 }
 
 func respond(conn net.Conn, responses []string) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for _, response := range responses {
 		request, err := http.ReadRequest(reader)
@@ -80,13 +89,18 @@
 // do sends one request over a connection of the pool and returns the response
 // body.
 func do(ctx context.Context, pool *upconn.Pool, target upconn.Target, id string) (string, error) {
+	return doBody(ctx, pool, target, id, "lot=12")
+}
+
+// doBody is like do with a request body.
+func doBody(ctx context.Context, pool *upconn.Pool, target upconn.Target, id, requestBody string) (string, error) {
 	conn, err := connect(ctx, pool, target, time.Minute)
 	if err != nil {
 		return "", err
 	}
 	response, err := conn.Do(ctx, &upconn.Request{
 		Method: http.MethodPost, Target: "/bales", Host: "souk.example",
-		Header: http.Header{idHeader: {id}}, Body: strings.NewReader("lot=12"), Length: 6,
+		Header: http.Header{idHeader: {id}}, Body: strings.NewReader(requestBody), Length: int64(len(requestBody)),
 		Matches: func(header http.Header, _ bool) bool { return header.Get(idHeader) == id },
 	})
 	if err != nil {
--- a/upconn/send_state.go
+++ b/upconn/send_state.go
@@ -10,15 +10,23 @@
 // errSealed reports a write that was begun after the attempt had failed.
 var errSealed = errors.New("request has been abandoned")
 
-// sendState tracks whether any byte of one request may have left. A write in progress
-// counts as one that has sent bytes, because a response may arrive before it
-// returns. The writer runs beside the reader, so that nothing has left is only
-// final if no later write may begin: seal decides both at once.
+// sendState tracks whether any byte of one request may have left, and the first error of
+// a write. A write in progress counts as one that has sent bytes, because a response may
+// arrive before it returns. The writer runs beside the reader, so that nothing has left is
+// only final if no later write may begin: seal decides both at once.
 type sendState struct {
 	mutex   sync.Mutex
+	ended   *sync.Cond
 	sent    bool
 	writing bool
 	sealed  bool
+	err     error
+}
+
+func newSendState() *sendState {
+	s := &sendState{}
+	s.ended = sync.NewCond(&s.mutex)
+	return s
 }
 
 // seal forbids writes that have not begun yet and reports whether any byte may have left.
@@ -48,11 +56,26 @@
 	return s.writing
 }
 
-func (s *sendState) end(count int) {
+// end records the result of a write.
+func (s *sendState) end(count int, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.sent = s.sent || count > 0
 	s.writing = false
+	if s.err == nil {
+		s.err = err
+	}
+	s.ended.Broadcast()
+}
+
+// writeError waits until no write is in progress and returns the first error of a write.
+func (s *sendState) writeError() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for s.writing {
+		s.ended.Wait()
+	}
+	return s.err
 }
 
 // trackingWriter writes to a connection and tracks whether bytes have left.
@@ -67,6 +90,6 @@
 		return 0, errSealed
 	}
 	count, err := w.conn.Write(data)
-	w.sent.end(count)
+	w.sent.end(count, err)
 	return count, err
 }
