upconn: a response with a malformed field name is no answer

What callers saw: a server sent a head in which a field name had a blank or a control character. The caller got a 200, without the line if the blank was in the name or at its end; with the field before it altered, the signature too, if the blank was at the front, which folds the line; and with a body that wasn't the server's if the line framed the body, or was the first behind a line feed that ended the head early.

Cause: net/http, which parses the heads, accepts names with blanks, joins folded lines and takes a line feed alone for the end of a line. Only it knew the bytes of a head.

Ruled out: other control characters, which net/http rejects.

Change: package heads checks the bytes of a head while net/http reads them, and fails the read at the first byte that RFC 9110 allows in no name, and at a line feed alone among lines that end with CRLF. A head that ends all lines with line feeds alone passes as before. The attempt fails like that of other malformed responses: the request may have run.

--- a/procs/early_response_test.go
+++ b/procs/early_response_test.go
@@ -185,11 +185,12 @@
 // send sends the request while it reads the response, and returns the status and the body.
 // The error is set if the response is incomplete: if the end of the connection delimits it,
 // that is the case, too, if the write got the report of a reset instead of the read.
-func (u upload) send(t *testing.T, address netip.AddrPort, id, path string) (status int, body string, err error) {
-	t.Helper()
+func (u upload) send(address netip.AddrPort, id, path string) (status int, body string, err error) {
 	conn, err := net.Dial("tcp", address.String())
-	must(t, err)
-	must(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+	if err != nil {
+		return 0, "", err
+	}
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
 	written := make(chan error, 1)
 	go func() {
 		_, err := io.WriteString(conn, "POST "+path+" HTTP/"+u.proto+"\r\nHost: souk.example\r\n"+proto.HeaderRequestID+": "+id+
@@ -223,16 +224,8 @@
 		t.Run(u.name, func(t *testing.T) {
 			t.Parallel()
 			f := newFrontFleet(t, 1, 0)
-			config := newFrontConfig(2, "bales")
-			config.Limits.BodyBytes = 64 << 20
-			data, err := platform.EncodeConfig(config)
-			must(t, err)
-			f.store.Put(platform.OperatorTopic, platform.ConfigKey, data)
 			server := f.startEarlyServer()
-			f.eventually("the server and version 2 to be known", func() bool {
-				_, status, _, err := f.send(f.fronts[0], http.MethodPost, "/bales/ready", strings.Repeat("x", 2000))
-				return err == nil && status == http.StatusOK
-			})
+			f.allowUploads(server)
 			for i, response := range earlyResponses {
 				f.testEarlyResponse(t, server, u, response, fmt.Sprintf("early-%d", i))
 			}
@@ -240,6 +233,23 @@
 	}
 }
 
+// allowUploads publishes a configuration that allows long bodies, and waits until it is in
+// force and the server is known.
+func (f *frontFleet) allowUploads(server *earlyServer) {
+	f.t.Helper()
+	config := newFrontConfig(2, "bales")
+	config.Limits.BodyBytes = 64 << 20
+	data, err := platform.EncodeConfig(config)
+	must(f.t, err)
+	f.store.Put(platform.OperatorTopic, platform.ConfigKey, data)
+	f.eventually("the server and version 2 to be known", func() bool {
+		const path = "/bales/ready"
+		_, status, _, err := f.send(f.fronts[0], http.MethodPost, path, strings.Repeat("x", 2000))
+		_, arrived := server.position(path)
+		return err == nil && status == http.StatusOK && arrived
+	})
+}
+
 // testEarlyResponse sends requests, every second one over a connection to the server that
 // has carried another one.
 func (f *frontFleet) testEarlyResponse(t *testing.T, server *earlyServer, u upload, response earlyResponse, name string) {
@@ -254,7 +264,7 @@
 			_, _, _, err := f.send(f.fronts[0], http.MethodPost, "/bales/before", "")
 			must(t, err)
 		}
-		status, body, err := u.send(t, f.fronts[0].callers, id, path)
+		status, body, err := u.send(f.fronts[0].callers, id, path)
 		complete := err == nil && status < http.StatusMultipleChoices
 		if complete != response.whole || (complete && body != response.body) {
 			t.Errorf("%s, round %d: got status %d, %d bytes, error %v", response.name, round, status, len(body), err)
--- a/upconn/conn.go
+++ b/upconn/conn.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"dandeliondoor/dialer"
+	"dandeliondoor/heads"
 )
 
 // Limits of one request-response exchange.
@@ -74,6 +75,7 @@
 	target     Target
 	openedAt   time.Time
 	received   *boundedReader
+	checked    *heads.Reader
 	reader     *bufio.Reader
 	sent       *sendState
 	lastUsed   time.Time
@@ -86,12 +88,14 @@
 
 func newConn(conn net.Conn, target Target) *Conn {
 	received := &boundedReader{conn: conn}
+	checked := heads.NewReader(received)
 	return &Conn{
 		conn:      conn,
 		target:    target,
 		openedAt:  time.Now(),
 		received:  received,
-		reader:    bufio.NewReaderSize(received, bufferSize),
+		checked:   checked,
+		reader:    bufio.NewReaderSize(checked, bufferSize),
 		lastUsed:  time.Now(),
 		keepAlive: defaultKeepAlive,
 	}
@@ -192,7 +196,7 @@
 	httpRequest := &http.Request{Method: request.Method}
 	c.received.limit(maxHeadBytes, errLongHead)
 	for unmatched, interim := 0, 0; unmatched <= maxUnmatched; {
-		response, err := http.ReadResponse(c.reader, httpRequest)
+		response, err := c.readHead(httpRequest)
 		if err != nil {
 			return nil, c.received.cause(err)
 		}
@@ -227,6 +231,18 @@
 	return nil, errUnmatched
 }
 
+// readHead reads the head of the next response.
+func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checked.ExpectHead(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, request)
+}
+
 // discardBody reads the body of a response to another request to its end and drops
 // it. It does not close the body if that is too long, since closing reads the rest.
 func discardBody(response *http.Response) error {
