platform: an append whose reply is cut isn't acknowledged

What callers saw: nothing; daemons did. The store answered a long append with a 200 without a length and reset the connection during the upload. The daemon took the write for executed.

Cause: the reset is reported to the write, as in the fault of upconn, and net/http ends the body with the end of file that the read gets. Only the status of the reply was looked at.

Reads and listings don't have this fault: their requests have no body, so that the read gets the report, and a cut listing can't be decoded.

Change: the reply to an append is decoded. One that can't be counts as no response, since the store may have executed the append; the write is repeated as one whose response was lost. The stand-in of the store uses the same type.

--- a/fakes/store.go
+++ b/fakes/store.go
@@ -54,13 +54,7 @@
 type epoch struct {
 	number   uint64
 	sequence uint64
-	reply    appendReply
-}
-
-// appendReply is the response to an append: the offset of its first record and the end.
-type appendReply struct {
-	Offset uint64 `json:"offset"`
-	End    uint64 `json:"end"`
+	reply    platform.AppendReply
 }
 
 // NewStore returns an empty store.
@@ -220,7 +214,7 @@
 
 // appendIf adds records if the conditions of a query hold, and returns the reply, the era
 // and the status.
-func (s *Store) appendIf(query url.Values, records [][]byte) (appendReply, uint64, int) {
+func (s *Store) appendIf(query url.Values, records [][]byte) (platform.AppendReply, uint64, int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	reply, status := s.appendLocked(query, records)
@@ -228,11 +222,11 @@
 }
 
 // appendLocked is appendIf without the era; the mutex must be held.
-func (s *Store) appendLocked(query url.Values, records [][]byte) (appendReply, int) {
+func (s *Store) appendLocked(query url.Values, records [][]byte) (platform.AppendReply, int) {
 	name, producer := query.Get("topic"), query.Get("producer")
 	t := s.topic(name)
 	if at := query.Get("at"); at != "" && at != strconv.FormatUint(t.firstOffset+uint64(len(t.records)), 10) {
-		return appendReply{}, http.StatusPreconditionFailed
+		return platform.AppendReply{}, http.StatusPreconditionFailed
 	}
 	last, known := t.epochs[producer]
 	next := epoch{}
@@ -242,13 +236,13 @@
 		next.sequence, sequenceErr = strconv.ParseUint(query.Get("seq"), 10, 64)
 		switch {
 		case numberErr != nil || sequenceErr != nil:
-			return appendReply{}, http.StatusBadRequest
+			return platform.AppendReply{}, http.StatusBadRequest
 		case known && next.number < last.number:
-			return appendReply{}, http.StatusConflict
+			return platform.AppendReply{}, http.StatusConflict
 		case known && next.number == last.number && next.sequence == last.sequence:
 			return last.reply, http.StatusOK
 		case known && next.number == last.number && next.sequence != last.sequence+1:
-			return appendReply{}, http.StatusConflict
+			return platform.AppendReply{}, http.StatusConflict
 		}
 	}
 	for i, record := range records {
