cmds: a daemon's response with a malformed field name is reported

What callers saw: nothing was seen. `state` and `status` print the body of a response whose head is malformed and exit with 0.

Cause: that of the fault in upconn: net/http accepts blanks in names and folded lines.

A response that is cut, shorter than its length or has the status 000 was reported before: the requests have no body, so that the read gets the report of a reset.

Change: the commands read through heads.Transport and exit with 5, as for a daemon that can't be reached. rest/httpc is left out: with a transport of its own it includes a circuit breaker, which refused calls when the commands were tested 20 times in one process.

--- a/cmds/statecmd.go
+++ b/cmds/statecmd.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"dandeliondoor/dialer"
+	"dandeliondoor/heads"
 )
 
 const stateHelp = `Print the state of a daemon's parts as YAML.
@@ -48,7 +50,11 @@
 	if err != nil {
 		return nil, &ExitError{Code: ExitUsage, Err: err}
 	}
-	response, err := httpc.DoRequest(request)
+	client := &http.Client{Transport: heads.NewTransport(&http.Transport{
+		Proxy:       http.ProxyFromEnvironment,
+		DialContext: dialer.New(daemonTimeout).DialContext,
+	})}
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, &ExitError{Code: ExitUnreachable, Err: errors.Wrapf(err, "daemon %s", address)}
 	}
