--- a/procs/early_response_test.go
+++ b/procs/early_response_test.go
@@ -43,8 +43,8 @@
 }
 
 const (
-	earlyHead  = "HTTP/1.1 200 OK\r\nHEAD\r\n"
-	earlyHead0 = "HTTP/1.0 200 OK\r\nHEAD\r\n"
+	earlyHead       = "HTTP/1.1 200 OK\r\nHEAD\r\n"
+	earlyHeadHTTP10 = "HTTP/1.0 200 OK\r\nHEAD\r\n"
 )
 
 // longBody exceeds what a daemon buffers of a response.
@@ -54,13 +54,13 @@
 	{name: "no length", text: earlyHead + "\r\nlots", end: endReset},
 	{name: "no length, closed", text: earlyHead + "Connection: close\r\n\r\nlots", end: endReset},
 	{name: "no length, no body yet", text: earlyHead + "\r\n", end: endReset},
-	{name: "no length, HTTP 1.0", text: earlyHead0 + "\r\nlots", end: endReset},
+	{name: "no length, HTTP 1.0", text: earlyHeadHTTP10 + "\r\nlots", end: endReset},
 	{name: "no length, streamed", text: earlyHead + "\r\n" + longBody, end: endReset},
 	{name: "short of its length", text: earlyHead + "Content-Length: 9\r\n\r\nlots", end: endReset},
-	{name: "short of its length, HTTP 1.0", text: earlyHead0 + "Content-Length: 9\r\n\r\nlots", end: endReset},
+	{name: "short of its length, HTTP 1.0", text: earlyHeadHTTP10 + "Content-Length: 9\r\n\r\nlots", end: endReset},
 	{name: "chunks without an end", text: earlyHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nlots\r\n", end: endReset},
 	{name: "no length, orderly", text: earlyHead + "\r\nlots", body: "lots", end: endOrderly, whole: true},
-	{name: "no length, orderly, HTTP 1.0", text: earlyHead0 + "\r\nlots", body: "lots", end: endOrderly, whole: true},
+	{name: "no length, orderly, HTTP 1.0", text: earlyHeadHTTP10 + "\r\nlots", body: "lots", end: endOrderly, whole: true},
 	{name: "no length, orderly, streamed", text: earlyHead + "\r\n" + longBody, body: longBody, end: endOrderly, whole: true},
 	{name: "no length, FIN before the RST", text: earlyHead + "\r\nlots", body: "lots", end: endClosed, whole: true},
 	{name: "length", text: earlyHead + "Content-Length: 4\r\n\r\nlots", body: "lots", end: endReset, whole: true},
@@ -118,7 +118,7 @@
 
 func (s *earlyServer) serve(conn *net.TCPConn) {
 	defer conn.Close()
-	// A body doesn't fit into the buffers of the connection.
+	// Keeps an upload from fitting into the buffers of the connection.
 	_ = conn.SetReadBuffer(16 << 10)
 	reader := bufio.NewReader(conn)
 	for position := 0; ; position++ {
