--- a/review/lab3/hung_broker.go
+++ b/review/lab3/hung_broker.go
@@ -14,10 +14,10 @@
 // The deployment and the disruption of hungBroker.
 const (
 	hungDaemons   = 16
-	hungServers   = 40
+	hungServers   = 24
 	hungWork      = 100 * time.Millisecond
-	hungPerSecond = 1500
-	hungFreezes   = 12
+	hungPerSecond = 900
+	hungFreezes   = 45
 	hungFrozen    = 700 * time.Millisecond
 	hungPause     = 500 * time.Millisecond
 	hungTimeout   = 2 * time.Second
