--- a/review/lab3/hung_broker.go
+++ b/review/lab3/hung_broker.go
@@ -85,6 +85,7 @@
 	stopLoad()
 	wait()
 	overdue := checkAnswered(c.all(), calm, hungTimeout)
+	l.record.add("%s: its readiness check succeeds: %t", broker.name, broker.ready(ctx))
 	if err := f.publish(hungConfig(2, "hall", "annex"), nil); err != nil {
 		return err
 	}
