--- a/review/lab3/hung_broker.go
+++ b/review/lab3/hung_broker.go
@@ -14,10 +14,10 @@
 // The deployment and the disruption of hungBroker.
 const (
 	hungDaemons   = 16
-	hungServers   = 24
+	hungServers   = 32
 	hungWork      = 100 * time.Millisecond
 	hungPerSecond = 900
-	hungFreezes   = 45
+	hungFreezes   = 40
 	hungFrozen    = 700 * time.Millisecond
 	hungPause     = 500 * time.Millisecond
 	hungTimeout   = 2 * time.Second
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -68,6 +68,9 @@
 	ctx, cancel := context.WithTimeout(ctx, caseLimit)
 	defer cancel()
 	err = play(ctx, &lab{directory: directory, record: rec, trouble: os.Getenv("TROUBLE") != "0"})
+	if ctx.Err() != nil {
+		err = fmt.Errorf("the case did not come to its end: %w", ctx.Err())
+	}
 	code := exitHeld
 	switch {
 	case errors.Is(err, errBroken):
